Tell a bundled message as ended only when its call ends

Each message of a bundle has its own time-out, and the module may cancel one of them. Its end was told at once, though the call stayed out for the rest: the module sent it again, and two calls that carried it were out together. Now what was written is told as given up with its call's end; an answer that comes before then counts for it. What never went out still ends at once.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 #include "answer.hpp"
 
@@ -67,7 +68,7 @@
 
 struct Calls::Call {
   Call(net::io_context& io, EndpointId e, std::vector<Outgoing> m)
-      : endpoint(std::move(e)), messages(std::move(m)), over(messages.size(), false), timer(io) {
+      : endpoint(std::move(e)), messages(std::move(m)), over(messages.size(), false), given_up(messages.size()), timer(io) {
     left = messages.size();
   }
   enum class Stage { connecting, writing, waiting, done };
@@ -75,6 +76,8 @@
   EndpointId endpoint;
   std::vector<Outgoing> messages;
   std::vector<bool> over;  // its outcome was told
+  // Given up while others of the call are waited for: told when the call ends, since until then it is out.
+  std::vector<std::optional<Outcome>> given_up;
   std::size_t left = 0;
   Stage stage = Stage::connecting;
   Time sent = steady_now();
@@ -178,6 +181,7 @@
   }
   call->messages = std::move(live);
   call->over.assign(call->messages.size(), false);
+  call->given_up.assign(call->messages.size(), std::nullopt);
   const bool single = call->messages.size() == 1;
   auto& request = call->request;
   request.method(http::verb::post);
@@ -311,7 +315,7 @@
   if (call->stage == Call::Stage::done) return;
   Time due = steady_now() + kNever;
   for (std::size_t i = 0; i < call->messages.size(); i++)
-    if (!call->over[i]) due = std::min(due, call->sent + call->messages[i].timeout);
+    if (!call->over[i] && !call->given_up[i]) due = std::min(due, call->sent + call->messages[i].timeout);
   if (call->stage == Call::Stage::connecting) due = std::min(due, call->connect_due(limits_));
   if (call->answer_due > 0) due = std::min(due, call->answer_due);
   call->timer.expires_after(span(std::max<Time>(due - steady_now(), 0)));
@@ -324,7 +328,7 @@
     // Once its first byte is on the way, a call that is given up may have run.
     for (std::size_t i = 0; i < call->messages.size(); i++)
       if (!call->over[i] && now >= call->sent + call->messages[i].timeout)
-        end(call, i, connecting ? Outcome::connect_failed : Outcome::timeout);
+        give_up(call, i, connecting ? Outcome::connect_failed : Outcome::timeout);
     arm(call);
   });
 }
@@ -360,12 +364,24 @@
   for (std::size_t i = 0; i < call->messages.size(); i++) end(call, i, outcome, closed);
 }
 
+// A message that was written is out until its call ends, by an answer or with its connection: one that was
+// told before could be sent again beside it. What never went out ends at once.
+void Calls::give_up(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome) {
+  if (call->stage == Call::Stage::connecting) return end(call, part, outcome);
+  if (call->over[part] || call->given_up[part]) return;
+  call->given_up[part] = outcome;
+  for (std::size_t i = 0; i < call->messages.size(); i++)
+    if (!call->over[i] && !call->given_up[i]) return;
+  for (std::size_t i = 0; i < call->messages.size(); i++)
+    if (!call->over[i]) end(call, i, *call->given_up[i]);
+}
+
 void Calls::cancel(MessageId id, int attempt) {
   for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
     for (std::size_t i = 0; i < call->messages.size(); i++)
       if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
         const bool begun = call->stage != Call::Stage::connecting;
-        return end(call, i, begun ? Outcome::cancelled : Outcome::connect_failed);
+        return give_up(call, i, begun ? Outcome::cancelled : Outcome::connect_failed);
       }
 }
 
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -1,7 +1,8 @@
 // Calls to endpoints: connections, bundles, outcomes.
 //
 // A connection carries one call at a time; kept ones are used freshest first and closed before the endpoint
-// would. Each message in a call has its own time-out; the call ends with the last of them.
+// would. Each message in a call has its own time-out; the call ends with the last of them, and none of them
+// ends before, unless its answer comes.
 #pragma once
 
 #include <array>
@@ -77,6 +78,7 @@
   void answered_bundle(const std::shared_ptr<Call>& call);
   void arm(const std::shared_ptr<Call>& call);
   void end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed = false);
+  void give_up(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome);
   void end_all(const std::shared_ptr<Call>& call, Outcome outcome, bool closed = false);
   void keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection);
   void watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint);
--- /dev/null
+++ b/tests/calls_test.cpp
@@ -0,0 +1,83 @@
+// Calls alone, against a fake endpoint on loopback sockets. Each test says which failure it guards against.
+#include "calls.hpp"
+
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+using cedarplank::event::AttemptEnded;
+
+constexpr Time kSoon = 500'000, kLong = 20'000'000;
+
+class CallsTest : public ::testing::Test {
+ protected:
+  CallsTest() : endpoint(io, stay_silent) {
+    const std::string address = endpoint.address();
+    const auto port = std::stoi(address.substr(address.rfind(':') + 1));
+    calls.locate("s-1", {net::ip::make_address(own_address()), static_cast<std::uint16_t>(port)});
+  }
+  static CallLimits limits() {
+    CallLimits l;
+    l.slots = 4, l.connections = 8;
+    l.connect_timeout = kLong, l.idle = kLong;
+    return l;
+  }
+  static Outgoing message(MessageId id, Time timeout) {
+    return {id, 0, timeout, "m" + std::to_string(id), "hello"};
+  }
+  template <class Condition>
+  void wait_for(Condition condition, const char* what) {
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (!condition()) {
+      ASSERT_LT(std::chrono::steady_clock::now(), until) << "waited in vain until " << what;
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(5));
+    }
+  }
+
+  net::io_context io;
+  Server endpoint;
+  std::vector<AttemptEnded> ended;
+  Calls calls{io, limits(), [this](const AttemptEnded& e) { ended.push_back(e); }};
+};
+
+// A message that was told as ended is sent again, so its call must be over by then: else a second copy is out.
+TEST_F(CallsTest, AMessageGivenUpInABundleIsOutUntilTheCallEnds) {
+  calls.send("s-1", {message(1, kLong), message(2, kLong)});
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(endpoint.got[0].request.target(), "/events/bundle");
+  calls.cancel(1, 0);
+  EXPECT_TRUE(ended.empty());
+  EXPECT_EQ(calls.out(), 1u);
+  calls.cancel(2, 0);
+  EXPECT_EQ(calls.out(), 0u);
+  ASSERT_EQ(ended.size(), 2u);
+  for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::cancelled);
+  wait_for([&] { return endpoint.sessions[0]->ended; }, "its connection is closed");
+}
+
+// What its endpoint says in time for the others holds for one whose own time was over, too.
+TEST_F(CallsTest, AnAnswerCountsForAMessageOfTheBundleThatTimedOut) {
+  const Time sent = steady_now();
+  calls.send("s-1", {message(1, kSoon), message(2, kLong)});
+  wait_for([&] { return endpoint.got.size() == 1 && steady_now() > sent + 2 * kSoon; }, "its time is over");
+  EXPECT_TRUE(ended.empty());
+  endpoint.got[0].session->answer(200, "", R"([{"id":"m1","state":"done"},{"id":"m2","state":"busy"}])");
+  wait_for([&] { return ended.size() == 2; }, "both have their end");
+  EXPECT_EQ(ended[0].outcome, Outcome::served);
+  EXPECT_TRUE(ended[0].closed);
+  EXPECT_EQ(ended[1].outcome, Outcome::full);
+}
+
+// Each is told once, with its own outcome, where none is answered.
+TEST_F(CallsTest, ABundleWithoutAnAnswerEndsWithItsLastTimeout) {
+  calls.send("s-1", {message(1, kSoon), message(2, 3 * kSoon)});
+  wait_for([&] { return calls.out() == 0; }, "the call ends");
+  ASSERT_EQ(ended.size(), 2u);
+  for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::timeout);
+  EXPECT_GE(ended[0].latency, 3 * kSoon);
+}
+
+}  // namespace
+}  // namespace heronvane::testing
