Open discovery's watch also where changes are said to come unasked

The site's settings call discovery automatic: in the simulator changes then arrive by themselves, and the module asks for nothing. On sockets they only come by a watch, which nobody opened: the relay lived on its first list, sent to endpoints that drained, and at last to an address given to a new machine. The relay now always tells the module that changes are to be asked for.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -74,6 +74,9 @@
   const Value& settings = need(v, "settings", path);
   c.settings = read_settings(settings, path + ".settings", c.names);
   cedarplank::validate(c.settings);
+  // On sockets nothing comes unasked: also where the settings say that changes do, they come by a watch, which
+  // is to be opened, and opened again once it ends.
+  c.settings.subscribe = true;
   // However many calls may be out, each needs a descriptor.
   c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
   if (const Value* report = find(settings, "Report"))
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -170,7 +170,8 @@
            R"(,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
            R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
            R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"Peers":true,"ConnIdle":5000000,)"
-           R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":"subscribe","GroupSize":1,)"
+           R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":")" +
+           list_mode + R"(","GroupSize":1,)"
            R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":5000})";
   }
   std::string member(const std::string& name, const std::string& address, const std::string& status = "ready",
@@ -314,6 +315,7 @@
   std::string folder, members, finals;
   std::uint16_t port = 0;
   int workers = 8;
+  std::string list_mode = "subscribe";  // how the settings say that changes of the list come
   std::string more;  // further members of the configuration
   pid_t child = -1;
   rlim_t largest_file = 0;  // that the program may write; 0: any
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -229,6 +229,24 @@
 }
 
 // Discovery that talks nonsense, or ends the watch, is asked again; what was known holds until then.
+// Where the settings call discovery automatic, changes come by a watch all the same.
+TEST_F(RelayTest, AutomaticDiscoveryIsWatchedToo) {
+  list_mode = "automatic";
+  start();
+  wait_for([&] { return !watches.empty(); }, "the watch");
+  watches.back()->close();
+  wait_for([&] { return watches.size() == 2; }, "it is begun again");
+  Server other(io, answer_ok);
+  tell(list(member("s-1", endpoint.address(), "draining") + "," + member("s-2", other.address()), false));
+  // Until the change has come, messages still go to the first.
+  for (int i = 0; other.got.empty() && i < 1000; i++) {
+    EXPECT_EQ(hand_in("m" + std::to_string(i), kSafe), 202u);
+    const auto all = [&] { return endpoint.got.size() + other.got.size(); };
+    wait_for([&] { return all() == static_cast<std::size_t>(i) + 1; }, "the call");
+  }
+  EXPECT_FALSE(other.got.empty());
+}
+
 TEST_F(RelayTest, AWatchThatBreaksIsBegunAgain) {
   start();
   wait_for([&] { return watches.size() == 1; }, "the watch");
