Judge runs of stray failures by the endpoint's own share too

A run of failures closes an endpoint when chance alone hardly explains it. Chance was reckoned from the share of strays over all endpoints. Where resets strike a few destinations only, that share is far below theirs: they were closed again and again and came back at a fifth of their rate, though they served on. Each endpoint now keeps its own share, and the larger of the two counts.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -52,7 +52,8 @@
 constexpr double kLeastCalls = 3;        // calls a second of all relays that an endpoint is taken to get
 constexpr double kEvidence = 3;          // seconds of own calls that must fail to close, kCloseRun at most
 // Stray failures: resets and errors at endpoints that serve on.
-constexpr double kStrayGain = 0.02;     // weight of the newest call in their share
+constexpr double kStrayGain = 0.02;     // weight of the newest call in their share,
+constexpr double kOwnStrayGain = 0.1;   // and in the share of one endpoint, which sees fewer
 constexpr double kStrayLeast = 0.05;    // share from which on they are reckoned with
 constexpr double kStrayChance = 0.003;  // a run that is likelier than this by chance closes nothing
 constexpr int kStraysOfOne = 2;         // of one run counted at most: the rest may be an outage
@@ -136,6 +137,7 @@
   double fail_share = 0;
   int fail_run = 0;                     // failed calls since the last serve
   int strays = 0;                       // resets and errors among them
+  double stray_share = 0;               // of its calls that fail while it serves on
   Time served_at = 0, served_sent = 0;  // last serve, and the newest send among those served
   bool doubt_run = false;               // the last failure may have run
   bool idle_closed = false;             // idle connections were dropped in this spell
@@ -378,8 +380,11 @@
       e.since = e.budget_at = now;
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
     }
-    for (; e.strays > 0; e.strays--) stray_share += kStrayGain * (1 - stray_share);
-    stray_share *= 1 - kStrayGain;
+    for (; e.strays > 0; e.strays--) {
+      stray_share += kStrayGain * (1 - stray_share);
+      e.stray_share += kOwnStrayGain * (1 - e.stray_share);
+    }
+    stray_share *= 1 - kStrayGain, e.stray_share *= 1 - kOwnStrayGain;
     e.fail_run = 0, e.idle_closed = false;
     e.bundle = std::min(e.bundle + 1, e.bundle_max);
     if (e.call_cap > 0 && now - e.capped_at > micros(2)) e.call_cap++, e.capped_at = now;
@@ -403,11 +408,14 @@
   int signs_needed(EndpointState& e) const {
     return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), 1, kCloseRun);
   }
-  // Where calls fail everywhere now and then, a run of failures must be longer to tell an outage. Guards
-  // against closing sound endpoints one after the other on a day of stray resets. 1: no strays to speak of.
-  int run_beyond_chance() const {
-    if (stray_share < kStrayLeast) return 1;
-    return std::min(kStrayMost, static_cast<int>(std::ceil(std::log(kStrayChance) / std::log(stray_share))));
+  // Where calls fail now and then, everywhere or at this endpoint, a run of failures must be longer to tell an
+  // outage. Guards against closing sound endpoints one after the other on a day of stray resets, and for good
+  // the few that they strike. 1: no strays to speak of.
+  double strays_at(const EndpointState& e) const { return std::max(stray_share, e.stray_share); }
+  int run_beyond_chance(const EndpointState& e) const {
+    const double share = strays_at(e);
+    if (share < kStrayLeast) return 1;
+    return std::min(kStrayMost, static_cast<int>(std::ceil(std::log(kStrayChance) / std::log(share))));
   }
   void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
@@ -428,7 +436,7 @@
     }
     // In the ramp two in a row close again: one stray failure must not start the ramp anew.
     // A single error proves little: some come from sound endpoints too.
-    const int chance = run_beyond_chance();
+    const int chance = run_beyond_chance(e);
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
     // to a doubtful endpoint, and against one that stumbles over large bundles only. Not where it may be a
     // stray failure: under a limit of calls, small bundles would starve the rest.
@@ -437,7 +445,7 @@
     const int run = e.health == Health::open   ? std::max(kCloseRun, chance)
                     : e.health == Health::ramp ? std::max(kCloseRun - 1, chance)
                                                : 1;
-    const double most_fail = kMostFail + (chance > 1 ? stray_share : 0);
+    const double most_fail = kMostFail + (chance > 1 ? strays_at(e) : 0);
     if (e.fail_run >= few || e.fail_run + overdue(e) >= run || e.fail_share > most_fail)
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
                : ev.outcome == Outcome::error        ? "errors"
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -269,38 +269,60 @@
   r.live(8 * kS, 20, kSafe, 1, serve);
   EXPECT_GE(r.sends_between(r.now - 2 * kS, r.now), 30);
 }
-TEST(Shut, StrayResetsEverywhereCloseNoSoundEndpointAnOutageStillDoes) {
+// Ten destinations of one endpoint each ("a" to "j"), ten messages a second for each; `lost` calls are reset.
+constexpr int kTen = 10;
+Relay ten_destinations() {
   auto s = plain();
   s.cold = 8 * kS, s.slots = 64;
   Relay r(s);
-  constexpr int kEndpoints = 10;
   std::vector<Endpoint> endpoints;
-  for (int i = 0; i < kEndpoints; i++)
+  for (int i = 0; i < kTen; i++)
     endpoints.push_back({.id = std::string(1, static_cast<char>('a' + i)), .destination = i});
   r.list(endpoints);
+  return r;
+}
+template <class Lost>
+void live_with_resets(Relay& r, Time span, Lost lost) {
+  for (const Time until = r.now + span; r.now < until; r.run_to(r.now + 100 * kMs)) {
+    for (const auto& sent : std::vector<Sent>(r.out))
+      r.end(sent.id, lost(sent) ? Outcome::reset : Outcome::served);
+    for (int i = 0; i < kTen; i++) r.arrive(kSafe, i);
+  }
+}
+TEST(Shut, StrayResetsEverywhereCloseNoSoundEndpointAnOutageStillDoes) {
+  Relay r = ten_destinations();
   std::mt19937 random(7);
   bool outage = false;
-  const auto live = [&](Time span) {
-    for (const Time until = r.now + span; r.now < until; r.run_to(r.now + 100 * kMs)) {
-      for (const auto& sent : std::vector<Sent>(r.out)) {
-        const bool lost = random() % 4 == 0 || (outage && sent.endpoint == "a");
-        r.end(sent.id, lost ? Outcome::reset : Outcome::served);
-      }
-      for (int i = 0; i < kEndpoints; i++) r.arrive(kSafe, i);
-    }
-  };
-  live(10 * kS);  // until the share of strays is known
+  const auto lost = [&](const Sent& sent) { return random() % 4 == 0 || (outage && sent.endpoint == "a"); };
+  live_with_resets(r, 10 * kS, lost);  // until the share of strays is known
   const auto ended = [&] { return r.failed.size() + r.refused.size(); };
   const auto before = ended();
   const Time from = r.now;
-  live(20 * kS);
+  live_with_resets(r, 20 * kS, lost);
   EXPECT_LE(ended() - before, 400u) << "of 2000 messages";
   EXPECT_GE(r.sends_between(from, r.now), 2000);
   outage = true;
-  live(10 * kS);
+  live_with_resets(r, 10 * kS, lost);
   EXPECT_LE(r.sends_between(r.now - 5 * kS, r.now, "a"), 10);
   EXPECT_GE(r.sends_between(r.now - 5 * kS, r.now), 500);
 }
+// Two calls in five are reset at one destination of ten: it serves on, so it is asked on. An outage still ends
+// that.
+TEST(Shut, StrayResetsAtOneDestinationDoNotCloseIt) {
+  Relay r = ten_destinations();
+  std::mt19937 random(7);
+  bool outage = false;
+  const auto lost = [&](const Sent& sent) { return sent.endpoint == "a" && (outage || random() % 5 < 2); };
+  live_with_resets(r, 10 * kS, lost);  // until its share is known
+  const auto failed = r.failed.size();
+  const Time from = r.now;
+  live_with_resets(r, 20 * kS, lost);
+  EXPECT_LE(r.failed.size() - failed, 20u) << "of 200 messages for it";
+  EXPECT_GE(r.sends_between(from, r.now, "a"), 250);
+  outage = true;
+  live_with_resets(r, 10 * kS, lost);
+  EXPECT_LE(r.sends_between(r.now - 5 * kS, r.now, "a"), 10);
+}
 TEST(Shut, TrialsOfManyRelaysDoNotAddUp) {
   auto s = plain();
   s.relays = 200, s.fall_multiple = 2, s.cold_from = 0.2, s.cold = 10 * kS;
