Weigh what a message has to win more against what it loses by waiting

In a backlog messages past their aim lose worth all the time, fresh ones nothing yet. The weight of what is left to win was 0.1 and is 0.3 now.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -58,6 +58,8 @@
 constexpr double kStrayChance = 0.003;  // a run that is likelier than this by chance closes nothing
 constexpr int kStraysOfOne = 2;         // of one run counted at most: the rest may be an outage
 constexpr int kStrayMost = 8;           // bad signs that close whatever the chance
+// Queue.
+constexpr double kWin = 0.3;  // weight of what a message has to win, against what it loses by waiting
 // Slots.
 constexpr double kTargetSlots = 0.5;   // share of the slots for one endpoint at most
 constexpr double kTrialSlots = 0.25;   // for trial calls of all closed endpoints
@@ -525,10 +527,12 @@
     if (set.decay == Decay::halves) return m.worth * std::max(late, std::exp2(-past / seconds(m.cls->aim)));
     return m.worth * (1 - (1 - late) * past / std::max(1e-6, seconds(m.deadline - m.aim)));
   }
-  // What waiting one more short aim would lose, and a little for what is there to win.
+  // What waiting one more short aim would lose, and a part of what is there to win. Guards against a backlog
+  // served oldest first: those past their aim lose all the time, fresh ones nothing yet, so that every one
+  // comes late. Much more of it lets dear messages die late that would still be worth their half.
   double urgency(const Message& m, Time answer) const {
     const double v = value(m, answer);
-    return v - value(m, answer + micros(shortest_aim)) + 0.1 * v;
+    return v - value(m, answer + micros(shortest_aim)) + kWin * v;
   }
   void on(const event::Arrival& ev) {
     Message& m = messages[ev.id];
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -473,6 +473,19 @@
   EXPECT_EQ(r.sends_of(dear), 1);
   EXPECT_EQ(r.sends_of(cheap), 0);
 }
+// Two that can't both be served in time: the fresh one still can, of the other little is left to win.
+TEST(Worth, AFreshMessageGoesBeforeAnAlmostWorthlessOne) {
+  auto s = plain();
+  s.slots = 1;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  const auto first = r.arrive(kUnsafe), late = r.arrive(kSafe);
+  r.run_to(r.now + 4 * kS);
+  const auto fresh = r.arrive(kSafe);
+  r.end(first, Outcome::served);
+  EXPECT_EQ(r.sends_of(fresh), 1);
+  EXPECT_EQ(r.sends_of(late), 0);
+}
 TEST(Worth, AFullBufferHandsBackTheLeast) {
   auto s = plain();
   s.open_max = 10;
