Hand a message back at once where a told wait outlasts it

Such messages were held to their deadline and then ended as failed, though nothing could be sent for them any more. They are now refused at once, with the time to come again (the rest of the wait, up to the longest that clients heed); what can still be sent is held as before.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -574,11 +574,12 @@
     if (m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::all) return true;
     return m.out.empty() && !m.may_ran_zone;
   }
-  void finish(Message& m, bool again) {
+  void finish(Message& m, bool again, Time come_back = 0) {
     if (m.over) return;
     m.over = true;
+    const Time soonest = micros(unit * kInitial);
     if (again && may_refuse(m))
-      out->push_back(action::Refuse{m.id, micros(unit * kInitial)});
+      out->push_back(action::Refuse{m.id, std::max(std::min(come_back, set.retry_after_max), soonest)});
     else
       out->push_back(action::Fail{m.id});
   }
@@ -684,6 +685,17 @@
     return t;
   }
 
+  // When told waits end so late that no endpoint of its destination may be sent the message any more: that time;
+  // else kNever. Guards against holding what is lost until its deadline, its client none the wiser.
+  Time barred_until(const Message& m) {
+    const auto destination = destinations.find(m.destination);
+    Time first = kNever;
+    if (destination == destinations.end()) return first;
+    for (auto* e : destination->second.endpoints)
+      if (e->info.listing == Listing::active) first = std::min(first, target_of(*e).wait_until);
+    return first >= latest_send(m) ? first : kNever;
+  }
+
   // ---- The gate. Every send passes here; it tells when to look again. ----
   bool passes(const Message& m, EndpointState& e, Time& when) {
     if (e.info.listing != Listing::active) return false;
@@ -823,7 +835,10 @@
         if (set.cancelling) give_up(m, slots_short);
         continue;
       }
-      if (m.ready > now)
+      if (const Time until = barred_until(m); until < kNever) {
+        finish(m, true, until - now);
+        ended.push_back(id);
+      } else if (m.ready > now)
         wake_by(m.ready);
       else
         waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -686,6 +686,26 @@
   EXPECT_EQ(r.sends_of(1), 0);
   EXPECT_EQ(r.sends_of(2), 1);
 }
+// What a told wait keeps from being sent in time is handed back at once, with the time to come again; what can
+// still be sent is held.
+TEST(Waits, AMessageThatAWaitOutlastsEndsAtOnce) {
+  auto s = plain();
+  s.retry_after_max = 3 * kS;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  r.end(r.arrive(kSafe), Outcome::served, 10 * kS);
+  const auto safe = r.arrive(kSafe);  // 6 s
+  EXPECT_EQ(r.refused.count(safe), 1u);
+  EXPECT_EQ(r.come_back[safe], 3 * kS);
+  const auto dear = r.arrive(kUnsafe);  // 20 s
+  r.run_to(r.now + 9 * kS);
+  EXPECT_EQ(r.refused.count(dear) + r.failed.count(dear), 0u);
+  const auto later = r.arrive(kSafe);
+  r.run_to(r.now + 2 * kS);
+  EXPECT_EQ(r.sends_of(dear), 1);
+  EXPECT_EQ(r.sends_of(later), 1);
+  EXPECT_EQ(r.sends_of(safe), 0);
+}
 TEST(Waits, AWaitToldWithAServeHoldsToo) {
   Relay r;
   r.list({{.id = "a", .destination = 1}});
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -58,7 +58,7 @@
         sent.push_back(one);
         out.push_back(one);
       } else if (const auto* r = std::get_if<action::Refuse>(&a)) {
-        refused[r->id] = now;
+        refused[r->id] = now, come_back[r->id] = r->come_back;
       } else if (const auto* f = std::get_if<action::Fail>(&a)) {
         failed[f->id] = now;
       } else if (const auto* t = std::get_if<action::SetTimer>(&a)) {
@@ -140,7 +140,7 @@
 
   Time now = 1 * kS;
   std::vector<Sent> sent, out;
-  std::map<MessageId, Time> refused, failed, cancelled;
+  std::map<MessageId, Time> refused, failed, cancelled, come_back;
   std::vector<Time> asked;
   std::map<EndpointId, std::vector<Time>> idle_closed;
   std::vector<std::pair<Time, std::string>> notes;
