Keep the least pace of few relays from sinking to a call in hours

After refusals without a serve the pace is the share served after a refusal to the power of their number, calls a longest D. Six calls out together that a shut destination refuses made that 0.25^6 / 3: a call in 3 hours, though it told a wait of 4 s, and without a serve nothing raises it. Where relays are few the pace now never falls below one call in the longest D.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -251,8 +251,11 @@
   // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
   // A relay that calls seldom has no served rate to go by: it may make one call a D, rarer with each refusal
   // in a row, the more so where such calls were mostly refused again (refused calls use up some limits).
+  // Few relays need not go below one call in the longest D. Guards against a pace that a burst of refusals cuts to
+  // one call in hours, from which no serve ever raises it.
   double least_pace(const Target& t) const {
-    return std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
+    const double least = std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
+    return set.relays > kFewRelays ? least : std::max(least, 1 / (kMost * unit));
   }
   void learn_refusal(const Target& t, double served) {
     double& share = after_refusal[t.kind];
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -361,6 +361,19 @@
   r.run_to(at + 1 * kS);
   EXPECT_LE(r.sends_between(at, at + 1 * kS, "b"), 6);  // some sixty messages are held
 }
+// A burst that is refused as one, as after a restart at a shut destination: once it serves again, it is asked.
+TEST(Pace, ABurstOfRefusalsDoesNotEndAllCalls) {
+  auto s = plain();
+  s.relays = 2;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
+  std::vector<MessageId> burst;
+  for (int i = 0; i < 6; i++) burst.push_back(r.arrive(kUnsafe));
+  for (const auto id : burst) r.end(id, Outcome::full, 2 * kS), r.run_to(r.now + 80 * kMs);
+  const Time from = r.now;
+  r.live(12 * kS, 5, kSafe, 1, serve);
+  EXPECT_GE(r.sends_between(from, r.now), 10);
+}
 TEST(Pace, ARefusedMessageOfARareRelayIsTriedAgain) {
   auto s = plain();
   s.relays = 300;
