Add the operators' entry: figures, suspension by hand, a reversible drain

Cause of the break: there was no entry, so nothing told the relay to drain; ruled out the drain at SIGTERM, which closed the same connections in time. Suspended endpoints enter the ramp when they are restored.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -156,11 +156,17 @@
   int from = 0;
   std::string body;
 };
+// Operators leave an endpoint out, whatever the list says of it, or let it serve again. Repeats are harmless.
+struct Suspended {
+  EndpointId endpoint;
+  bool on = true;
+};
 }  // namespace event
 
 using Event =
     std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::Recovered,
-                 event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote>;
+                 event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote,
+                 event::Suspended>;
 
 namespace action {
 // Attempts of a message count from 0 in the order of their sends.
@@ -219,6 +225,9 @@
   // in order. `actions` is appended to.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
 
+  // How many listed endpoints are avoided now: suspended, or taken to be out.
+  std::size_t avoided() const;
+
   // How many endpoints, destinations, messages, order keys and calls are kept: a gauge of memory.
   std::size_t kept() const;
 
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -68,7 +68,11 @@
 
 struct Calls::Call {
   Call(net::io_context& io, EndpointId e, std::vector<Outgoing> m)
-      : endpoint(std::move(e)), messages(std::move(m)), over(messages.size(), false), given_up(messages.size()), timer(io) {
+      : endpoint(std::move(e)),
+        messages(std::move(m)),
+        over(messages.size(), false),
+        given_up(messages.size()),
+        timer(io) {
     left = messages.size();
   }
   enum class Stage { connecting, writing, waiting, done };
@@ -203,6 +207,7 @@
     if (call->stage == Call::Stage::done) return;
     // The last byte was not written, so the call has not begun there.
     if (bad) return end_all(call, Outcome::connect_failed);
+    written_ += call->messages.size();
     call->stage = Call::Stage::waiting;
     read(call);
   });
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -59,6 +59,7 @@
   void hold_back(const EndpointId& endpoint);
 
   std::size_t out() const { return out_.size(); }
+  std::uint64_t written() const { return written_; }  // messages written whole to endpoints
 
  private:
   struct Connection;
@@ -95,6 +96,7 @@
   std::map<EndpointId, Place> places_;
   std::set<std::shared_ptr<Call>> out_;
   std::size_t kept_ = 0;
+  std::uint64_t written_ = 0;
 };
 
 }  // namespace heronvane
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -19,6 +19,8 @@
 // Descriptors that are no connections of clients or to endpoints: standard streams, the event loop, signals,
 // the journal's files, discovery, datagrams, the one that listens; one that is turned away.
 constexpr std::size_t kOtherFiles = 24;
+// Of every so many descriptors one is for an operator, up to so many; and one more that listens for them.
+constexpr std::size_t kOperatorPart = 16, kMostOperators = 16;
 
 boost::asio::ip::udp::endpoint udp(const std::string& text, const std::string& path) {
   const auto address = read_address(text, path);
@@ -59,8 +61,15 @@
   const Value& limits = as_object(need(v, "limits", path), path + ".limits");
   const int sockets = get(limits, "sockets", path + ".limits", as_int);
   if (sockets < 64) malformed(path + ".limits.sockets", "must be 64 or more");
-  c.client_connections = (static_cast<std::size_t>(sockets) - kOtherFiles) / 2;
-  c.endpoint_connections = static_cast<std::size_t>(sockets) - kOtherFiles - c.client_connections;
+  const auto files = static_cast<std::size_t>(sockets);
+  std::size_t others = kOtherFiles;
+  if (const Value* o = find(v, "operator")) {
+    c.operators = read_address(as_text(*o, path + ".operator"), path + ".operator");
+    c.operator_connections = std::min(files / kOperatorPart, kMostOperators);
+    others += c.operator_connections + 1;
+  }
+  c.client_connections = (files - others) / 2;
+  c.endpoint_connections = files - others - c.client_connections;
   c.memory_bytes = get(limits, "memory_mb", path + ".limits", whole_above_zero);
   // Taken as 10^6 bytes, the smaller of the two readings of a megabyte.
   c.disk_bytes = get(limits, "disk_mb", path + ".limits", whole_above_zero);
@@ -74,8 +83,8 @@
   const Value& settings = need(v, "settings", path);
   c.settings = read_settings(settings, path + ".settings", c.names);
   cedarplank::validate(c.settings);
-  // On sockets nothing comes unasked: also where the settings say that changes do, they come by a watch, which
-  // is to be opened, and opened again once it ends.
+  // On sockets nothing comes unasked: also where the settings say that changes do, they come by a watch,
+  // which is to be opened, and opened again once it ends.
   c.settings.subscribe = true;
   // However many calls may be out, each needs a descriptor.
   c.settings.slots = std::min(c.settings.slots, static_cast<int>(c.endpoint_connections));
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -17,8 +17,11 @@
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::string state_folder;
   std::uint64_t seed = 0;
-  // Parts of the file descriptors that the process may hold: for clients; for calls out and kept connections.
+  std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call; none: nowhere
+  // Parts of the file descriptors that the process may hold: for clients; for calls out and kept connections;
+  // for operators.
   std::size_t client_connections = 0, endpoint_connections = 0;
+  std::size_t operator_connections = 0;
   std::uint64_t memory_bytes = 0;
   std::uint64_t disk_bytes = 0;  // that the state folder may hold
   std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
--- /dev/null
+++ b/relay/figures.cpp
@@ -0,0 +1,35 @@
+#include "figures.hpp"
+
+namespace heronvane {
+
+Figures::Figures(const cedarplank::adapter::Names& classes) {
+  for (const auto& [name, position] : classes) ends_[name];
+}
+
+void Figures::count(const std::string& message_class, End end) {
+  const auto it = ends_.find(message_class);
+  if (it == ends_.end()) return;  // of a class that the settings no longer have
+  auto& of_class = it->second;
+  (end == End::succeeded  ? of_class.succeeded
+   : end == End::declined ? of_class.declined
+                          : of_class.aborted)++;
+}
+
+std::string Figures::text(const Present& present) const {
+  std::string all;
+  const auto line = [&all](const std::string& name, std::uint64_t n) {
+    all += "svc." + name + "=" + std::to_string(n) + "\n";
+  };
+  for (const auto& [name, ends] : ends_) {
+    line("succeeded." + name, ends.succeeded);
+    line("declined." + name, ends.declined);
+    line("aborted." + name, ends.aborted);
+  }
+  line("forwards", present.forwards);
+  line("outstanding", present.outstanding);
+  line("discovered", present.discovered);
+  line("ejected", present.ejected);
+  return all;
+}
+
+}  // namespace heronvane
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -323,8 +323,9 @@
     if (spare[i].second->make_room()) return;
 }
 
-void Intake::drain() {
-  draining_ = true;
+void Intake::drain(bool on) {
+  draining_ = on;
+  if (!on) return;
   for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
     session->drain();
 }
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -38,8 +38,8 @@
          const IntakeLimits& limits, Take take, Ready ready);
   ~Intake();
 
-  // From now on connections are closed once they stand between requests; new ones are still answered.
-  void drain();
+  // While draining, connections are closed once they stand between requests; new ones are still answered.
+  void drain(bool on);
   // Whether a request is being read or answered.
   bool busy() const;
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -17,7 +17,8 @@
 // A file is this line, then frames: length and CRC-32 of the payload (4 bytes each), the payload.
 // Payload: kind (1 byte), message number (8), fields. Integers are little-endian, as the machine has them.
 const std::string kMagic = "heronvane journal 1\n";
-enum Kind : char { kTake = 'T', kSent = 'S', kOutcome = 'O', kEnding = 'E', kOver = 'X' };
+enum Kind : char { kTake = 'T', kSent = 'S', kOutcome = 'O', kEnding = 'E', kOver = 'X', kSuspend = 'H' };
+constexpr MessageId kNoMessage = 0;  // stands in records that are of none
 constexpr std::uint64_t kFrame = 8;
 constexpr std::uint32_t kMostPayload = 1 << 20;
 // Room set aside with each message for the records that follow: eight attempts, ending and end.
@@ -109,6 +110,10 @@
   return Packer(kEnding, id).number(e.deferred).number(e.again).payload();
 }
 
+std::string suspend_record(const std::string& endpoint, bool on) {
+  return Packer(kSuspend, kNoMessage).text(endpoint).number(on).payload();
+}
+
 // All that is known of a message, as records.
 std::string records_of(MessageId id, const Held& h) {
   std::string all = framed(take_record(id, h.message));
@@ -206,6 +211,11 @@
     held_.insert_or_assign(id, std::move(h));
     return;
   }
+  if (kind == kSuspend) {
+    const std::string endpoint = in.text();
+    in.number<bool>() ? void(suspended_.insert(endpoint)) : void(suspended_.erase(endpoint));
+    return;
+  }
   const auto it = held_.find(id);
   if (it == held_.end()) return;  // over before the file was compacted
   Held& h = it->second;
@@ -277,6 +287,11 @@
   forget(it);
 }
 
+void Journal::suspend(const std::string& endpoint, bool on) {
+  if (on ? suspended_.insert(endpoint).second : suspended_.erase(endpoint) > 0)
+    add(kNoMessage, suspend_record(endpoint, on));
+}
+
 void Journal::write_file(int file, std::uint64_t& size, const std::string& bytes) {
   std::size_t done = 0;
   while (done < bytes.size()) {
@@ -326,7 +341,9 @@
   if (next_ < 0) {
     next_ = open_file(next_path_, O_RDWR | O_CREAT | O_TRUNC);
     next_size_ = 0, copied_ = 0;
-    write_file(next_, next_size_, kMagic);
+    std::string head = kMagic;
+    for (const auto& endpoint : suspended_) head += framed(suspend_record(endpoint, true));
+    write_file(next_, next_size_, head);
   }
   std::string step;
   auto it = held_.upper_bound(copied_);
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,8 @@
   Journal& operator=(const Journal&) = delete;
 
   const std::map<MessageId, Held>& held() const { return held_; }
-  std::size_t open() const { return held_.size() - endings_; }  // held, and not yet given up
+  std::size_t open() const { return held_.size() - endings_; }           // held, and not yet given up
+  const std::set<std::string>& suspended() const { return suspended_; }  // endpoints left out by hand
   // What was found at the start and could not be used.
   std::uint64_t dropped_bytes() const { return dropped_; }
 
@@ -70,6 +72,7 @@
   void outcome(MessageId id, int attempt, Outcome outcome);
   void ending(MessageId id, Ending ending);
   void over(MessageId id);  // nothing is owed any more; forgets the message
+  void suspend(const std::string& endpoint, bool on);
   // Writes the added records; false, with nothing written, where the disk won't take them now.
   bool commit();
 
@@ -97,6 +100,7 @@
   std::string pending_, next_pending_;
   std::map<MessageId, Held> held_;
   std::size_t endings_ = 0;  // of these, given up
+  std::set<std::string> suspended_;
 };
 
 }  // namespace heronvane
--- /dev/null
+++ b/relay/operators.hpp
@@ -0,0 +1,52 @@
+// The operators' entry: each connection brings one line, a call, and gets its reply. Holds no state of the
+// relay.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace heronvane {
+
+enum class Verb { status, metrics, suspend, restore, pause, resume };
+
+struct OperatorCall {
+  Verb verb = Verb::status;
+  std::string id;  // of an endpoint, where the call names one
+};
+
+// What a line asks for; else why it can't be understood.
+struct ReadCall {
+  OperatorCall call;
+  std::string problem;  // empty: none
+};
+ReadCall read_call(std::string line);
+
+class Operators {
+ public:
+  // The whole reply to a call, each line with its end.
+  using Handler = std::function<std::string(const OperatorCall&)>;
+
+  // Listens at once, for `most` callers at a time.
+  Operators(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, std::size_t most,
+            Handler handler);
+  ~Operators();
+
+ private:
+  class Session;
+  void accept();
+  void make_room();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  std::size_t most_;
+  Handler handler_;
+  std::list<std::shared_ptr<Session>> sessions_;  // oldest first
+};
+
+}  // namespace heronvane
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -18,6 +18,7 @@
 // Share of the memory for bodies that are being read.
 constexpr std::size_t kBodyPart = 8;
 constexpr std::size_t kMostDestinations = 4096;  // remembered besides those that are listed
+constexpr std::size_t kMostEndpoints = 16'384;   // ids remembered that a list has named
 constexpr Time kComeBack = 500'000;              // what found no room may come again after this
 constexpr auto kStallRetry = std::chrono::milliseconds(20);
 // After SIGTERM, whose SIGKILL comes no sooner than 3.7 s later: how long new connections may still come;
@@ -65,9 +66,10 @@
           io, config.discovery, config.names, config.known.index,
           [this](MemberList list) { listed(std::move(list)); }, [this] { happened(event::ListFailed{}); },
           [this](const std::vector<MessageId>& ids) {
-            for (const MessageId id : ids) over(id);
+            for (const MessageId id : ids) noticed(id);
             settle();
           }),
+      figures_(config.names.classes),
       recent_(longest_deadline(config.settings)),
       round_timer_(io),
       module_timer_(io),
@@ -83,6 +85,7 @@
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
     destinations_.insert(m.endpoint.destination);
+    ever_listed_.insert(m.endpoint.id);
   }
   events_.push_back(event::ListWhole{endpoints_of(config.known), true});
   recover();
@@ -91,6 +94,9 @@
       io, config.listen, config.settings, config.names,
       IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
       [this](Message m, Reply reply) { arrive(std::move(m), std::move(reply)); }, [this] { return ready(); });
+  if (config.operators)
+    operators_.emplace(io, *config.operators, config.operator_connections,
+                       [this](const OperatorCall& call) { return operate(call); });
   log("listening as " + config.name);
 }
 
@@ -98,6 +104,7 @@
 void Relay::recover() {
   if (journal_.dropped_bytes() > 0)
     log("journal: dropped " + std::to_string(journal_.dropped_bytes()) + " torn bytes at its end");
+  for (const auto& endpoint : journal_.suspended()) events_.push_back(event::Suspended{endpoint, true});
   std::vector<MessageId> unknown;
   for (const auto& [id, held] : journal_.held()) {
     next_number_ = id + 1;
@@ -139,7 +146,7 @@
 
 bool Relay::ready() const {
   const auto active = [](const auto& entry) { return entry.second.listing == Listing::active; };
-  return !stopping_ && !unwritten_ && std::any_of(endpoints_.begin(), endpoints_.end(), active);
+  return !stopping_ && !paused_ && !unwritten_ && std::any_of(endpoints_.begin(), endpoints_.end(), active);
 }
 
 // ---- What comes in. ----
@@ -152,11 +159,12 @@
   if (numbers_.count(message.id) > 0 || recent_.has(message.id)) return reply({202, 0});
   // Before discovery has told its list, an unknown destination may only be unknown yet.
   if (destinations_.count(message.destination) == 0)
-    return list_told_ ? reply({404, 0, "unknown destination"}) : reply({503, kComeBack});
+    return list_told_ ? reply({404, 0, "unknown destination"})
+                      : (figures_.count(message.message_class, End::declined), reply({503, kComeBack}));
   const std::size_t open = arrived_.size() + journal_.open();
   if (open >= static_cast<std::size_t>(config_.settings.open_max) || unwritten_ ||
       !journal_.room_for(message, arrived_cost_))
-    return reply({503, kComeBack});
+    return figures_.count(message.message_class, End::declined), reply({503, kComeBack});
   reply = shared(message.id, std::move(reply));
   arrived_cost_ += Journal::cost(message);
   arrived_.push_back({std::move(message), std::move(reply)});
@@ -175,7 +183,7 @@
 
 void Relay::ended(const event::AttemptEnded& e) {
   if (e.closed)
-    over(e.id);
+    over(e.id, e.outcome == Outcome::served ? std::optional(End::succeeded) : std::nullopt);
   else if (journal_.held().count(e.id) > 0)
     journal_.outcome(e.id, e.attempt, e.outcome);
   settle();
@@ -204,12 +212,12 @@
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
     destinations_.insert(m.endpoint.destination);
+    ever_listed_.insert(m.endpoint.id);
   }
   list_told_ = true;
   for (const auto& [id, e] : endpoints_) {
     if (e.listing == Listing::active) continue;
-    calls_.hold_back(id);
-    calls_.close_idle(id);
+    leave(id);
     if (e.listing == Listing::gone) calls_.forget(id);
   }
   std::erase_if(endpoints_, [](const auto& entry) { return entry.second.listing == Listing::gone; });
@@ -217,6 +225,10 @@
     destinations_.clear();
     for (const auto& [id, e] : endpoints_) destinations_.insert(e.destination);
   }
+  if (ever_listed_.size() > kMostEndpoints) {
+    ever_listed_.clear();
+    for (const auto& [id, e] : endpoints_) ever_listed_.insert(id);
+  }
   if (list.snapshot)
     happened(event::ListWhole{endpoints_of(list), false});
   else
@@ -312,15 +324,24 @@
     plan.answers.push_back(
         {0, std::move(waiting->second), ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
     unanswered_.erase(waiting);
-    return over(id, false);
+    return over(id, ending.deferred ? End::declined : End::aborted, false);
   }
   journal_.ending(id, ending);
   plan.endings.push_back(id);
 }
 
-void Relay::over(MessageId id, bool was_taken_on) {
+// The platform has its notice.
+void Relay::noticed(MessageId id) {
+  const auto held = journal_.held().find(id);
+  if (held == journal_.held().end() || !held->second.ending) return;
+  over(id, held->second.ending->deferred ? End::declined : End::aborted);
+}
+
+// The one point where a message's end is settled; none where it was over without this relay.
+void Relay::over(MessageId id, std::optional<End> end, bool was_taken_on) {
   const auto held = journal_.held().find(id);
   if (held == journal_.held().end()) return;
+  if (end) figures_.count(held->second.message.message_class, *end);
   if (was_taken_on) recent_.add(held->second.message.id, steady_now());
   numbers_.erase(held->second.message.id);
   journal_.over(id);
@@ -336,7 +357,7 @@
       for (auto& a : plan.answers) {
         a.reply({503, kComeBack});
         if (a.id == 0) continue;
-        over(a.id, false);
+        over(a.id, End::declined, false);
         happened(event::Withdrawn{a.id});
       }
       plan.answers.clear();
@@ -362,7 +383,13 @@
       happened(e);
       return true;
     });
-    if (!messages.empty()) calls_.send(endpoint, std::move(messages));
+    if (messages.empty()) continue;
+    const auto listed = endpoints_.find(endpoint);
+    const bool left = journal_.suspended().count(endpoint) > 0 || listed == endpoints_.end() ||
+                      listed->second.listing != Listing::active;
+    calls_.send(endpoint, std::move(messages));
+    // Left out while the records could not be written: ends as not sent.
+    if (left) calls_.hold_back(endpoint);
   }
   for (const MessageId id : plan.endings) {
     const auto held = journal_.held().find(id);
@@ -398,6 +425,75 @@
   });
 }
 
+// ---- What operators ask for. ----
+std::string Relay::operate(const OperatorCall& call) {
+  switch (call.verb) {
+    case Verb::status:
+      return status();
+    case Verb::metrics:
+      return figures();
+    case Verb::suspend:
+    case Verb::restore:
+      return suspend(call.id, call.verb == Verb::suspend);
+    case Verb::pause:
+    case Verb::resume:
+      return pause(call.verb == Verb::pause);
+  }
+  return "ERR unknown call\n";
+}
+
+std::string Relay::status() const {
+  if (ready()) return "OK " + std::to_string(journal_.held().size()) + " messages held\n";
+  return std::string("ERR ") +
+         (stopping_    ? "stopping"
+          : paused_    ? "paused; RESUME ends it"
+          : unwritten_ ? "the journal can't be written"
+                       : "no endpoint in the list is ready") +
+         "\n";
+}
+
+std::string Relay::figures() const {
+  Present now;
+  now.outstanding = journal_.held().size();
+  now.discovered = endpoints_.size();
+  now.ejected = dispatcher_.avoided();
+  now.forwards = calls_.written();
+  return figures_.text(now) + "END\n";
+}
+
+// Nothing new goes to an endpoint from now on, by connections that still come up neither.
+void Relay::leave(const EndpointId& endpoint) {
+  calls_.hold_back(endpoint);
+  calls_.close_idle(endpoint);
+}
+
+std::string Relay::suspend(const EndpointId& id, bool on) {
+  if (ever_listed_.count(id) == 0 && journal_.suspended().count(id) == 0)
+    return "ERR no list has named " + id + "\n";
+  const bool changes = on != (journal_.suspended().count(id) > 0);
+  if (changes) {
+    journal_.suspend(id, on);
+    if (on) leave(id);
+    // Decided in a round of its own: calls decided before it have gone, those of later ones keep it.
+    events_.emplace_back(event::Suspended{id, on});
+    round();
+    log(std::string(on ? "suspended " : "restored ") + id + " by hand");
+  }
+  if (unwritten_)
+    return "ERR " + id + ": done, but the journal can't be written; a restart would forget it\n";
+  return "OK " + id + (on ? " suspended" : " restored") + (changes ? "\n" : " already\n");
+}
+
+std::string Relay::pause(bool on) {
+  if (stopping_) return "ERR stopping\n";
+  if (std::exchange(paused_, on) != on) {
+    log(on ? "paused by hand" : "resumed by hand");
+    intake_->drain(on);
+  }
+  return std::string("OK ") + (on ? "paused, " : "at work, ") + std::to_string(journal_.held().size()) +
+         " messages held\n";
+}
+
 // ---- A new configuration. ----
 void Relay::reconfigure(const Config& config) {
   log("configuration read again: discovery at " + text_of(config.discovery));
@@ -410,7 +506,7 @@
   log("stopping: " + std::to_string(journal_.held().size()) + " messages held");
   done_ = std::move(done);
   stop_at_ = steady_now();
-  intake_->drain();
+  intake_->drain(true);
   check_drained();
 }
 
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -16,8 +16,10 @@
 #include "calls.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
+#include "figures.hpp"
 #include "intake.hpp"
 #include "journal.hpp"
+#include "operators.hpp"
 #include "peers.hpp"
 #include "platform.hpp"
 #include "recent.hpp"
@@ -65,7 +67,15 @@
   void decide(Plan& plan);
   void carry_out(Plan plan);
   void settle();
-  void over(MessageId id, bool was_taken_on = true);
+  void noticed(MessageId id);
+  void over(MessageId id, std::optional<End> end, bool was_taken_on = true);
+  // What operators ask for; the reply.
+  std::string operate(const OperatorCall& call);
+  std::string status() const;
+  std::string suspend(const EndpointId& id, bool on);
+  std::string pause(bool on);
+  std::string figures() const;
+  void leave(const EndpointId& endpoint);
   Reply shared(const std::string& id, Reply reply);
   void send(Plan& plan, const cedarplank::action::Send& a);
   void finish(Plan& plan, MessageId id, const Ending& ending);
@@ -90,7 +100,9 @@
   std::map<MessageId, Reply> unanswered_;               // taken in this round
   // Ids that wait for their answer, with those that handed the same one in meanwhile.
   std::unordered_map<std::string, std::vector<Reply>> twins_;
-  RecentIds recent_;                     // taken on and over
+  Figures figures_;
+  RecentIds recent_;  // taken on and over
+  std::set<EndpointId> ever_listed_;
   std::set<std::int64_t> destinations_;  // that any list has named
   bool list_told_ = false;               // by discovery, in this life
   MessageId next_number_ = 1;
@@ -102,9 +114,11 @@
   Time last_round_ = 0, stop_at_ = 0;
   bool unwritten_ = false;  // the journal could not be written
   bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
+  bool paused_ = false;  // by operators: clients are sent away
   boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_;
   std::function<void()> done_;
-  std::optional<Intake> intake_;  // last: it listens once all else stands
+  std::optional<Intake> intake_;  // these last: they listen once all else stands
+  std::optional<Operators> operators_;
 };
 
 }  // namespace heronvane
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -146,6 +146,7 @@
   double use_gap = 0;                   // between calls, in the mean
   Time used_at = -kNever;               // last time a call began or ended
   Health health = Health::open;
+  bool suspended = false;  // by operators
   double usual_rate = 0;  // served calls a second before the trouble
   Time since = 0;         // of the present health
   double budget = 0;      // calls allowed while closed or in the ramp
@@ -210,6 +211,7 @@
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
+  std::set<EndpointId> suspended;  // by operators, listed or not
   std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
@@ -485,6 +487,7 @@
     const KindSettings kind = place < set.kinds.size() ? set.kinds[place] : KindSettings{};
     e.own.kind = destinations[info.destination].target.kind = place;
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
+    if (fresh) e.suspended = suspended.count(info.id) > 0;
     if (fresh) e.bundle = e.bundle_max, e.use_gap = set.relays, e.asked.start(now);
     if (!fresh) return;
     auto& siblings = destinations[info.destination].endpoints;
@@ -511,6 +514,19 @@
     for (const auto& info : ev.endpoints) take(info);
     subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
   }
+  // What is suspended is restarted meanwhile: it comes back cold, as after an outage.
+  void on(const event::Suspended& ev) {
+    const bool changed = ev.on ? suspended.insert(ev.endpoint).second : suspended.erase(ev.endpoint) > 0;
+    const auto it = endpoints.find(ev.endpoint);
+    if (!changed || it == endpoints.end()) return;
+    EndpointState& e = it->second;
+    e.suspended = ev.on;
+    if (ev.on) return drop_idle(e);
+    if (e.health == Health::open) e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays);
+    e.health = Health::ramp, e.since = e.budget_at = now, e.budget = uniform();
+    e.fail_run = 0, e.fail_share = 0;
+    log("cold " + ev.endpoint);
+  }
   void on(const event::ListFailed&) {
     subscribed = false;
     ask_at = now + micros(jittered(ask_gap));
@@ -695,13 +711,14 @@
     Time first = kNever;
     if (destination == destinations.end()) return first;
     for (auto* e : destination->second.endpoints)
-      if (e->info.listing == Listing::active) first = std::min(first, target_of(*e).wait_until);
+      if (usable(*e)) first = std::min(first, target_of(*e).wait_until);
     return first >= latest_send(m) ? first : kNever;
   }
 
   // ---- The gate. Every send passes here; it tells when to look again. ----
+  bool usable(const EndpointState& e) const { return e.info.listing == Listing::active && !e.suspended; }
   bool passes(const Message& m, EndpointState& e, Time& when) {
-    if (e.info.listing != Listing::active) return false;
+    if (!usable(e)) return false;
     const bool keyed_by_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone;
     if (keyed_by_zone && m.may_ran_zone && e.info.zone != *m.may_ran_zone) return false;
     Target& t = target_of(e);
@@ -914,7 +931,15 @@
 std::size_t Dispatcher::kept() const {
   const State& s = *state_;
   return s.endpoints.size() + s.destinations.size() + s.messages.size() + s.keys.size() + s.calls.size() +
-         s.resting.size();
+         s.resting.size() + s.suspended.size();
+}
+
+std::size_t Dispatcher::avoided() const {
+  const auto& all = state_->endpoints;
+  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& entry) {
+    const EndpointState& e = entry.second;
+    return e.info.listing != Listing::gone && (e.suspended || e.health == Health::closed);
+  }));
 }
 
 void Dispatcher::handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions) {
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -528,6 +528,39 @@
   for (Time at : r.idle_closed["busy"]) EXPECT_LT(at, 10 * kS);  // until its gaps are known
 }
 
+// Like one that drains, whatever the list says; and cold when it returns, however long that took.
+TEST(Suspended, GetsNothingAndReturnsCold) {
+  Relay r;
+  const Endpoint a{.id = "a", .destination = 1}, b{.id = "b", .destination = 1};
+  r.list({a, b});
+  const auto served = [](const Sent&) { return std::optional(Outcome::served); };
+  r.live(10 * kS, 30, kSafe, 1, served);
+  const Time out = r.now;
+  EXPECT_GT(r.sends_between(out - 10 * kS, out, "a"), 100);
+  r.round({event::Suspended{"a", true}});
+  r.live(2 * kS, 30, kSafe, 1, served);
+  r.list({b});
+  r.live(10 * kS, 30, kSafe, 1, served);  // it leaves the list, and comes back
+  r.list({a, b});
+  r.round({event::Suspended{"a", true}});
+  r.live(2 * kS, 30, kSafe, 1, served);
+  EXPECT_EQ(r.sends_between(out, r.now + 1, "a"), 0);
+  const Time back = r.now;
+  r.round({event::Suspended{"a", false}});
+  r.round({event::Suspended{"b", true}});  // all would go there
+  r.live(1500 * kMs, 30, kSafe, 1, served);
+  const int cold = r.sends_between(back, r.now, "a");
+  EXPECT_GT(cold, 0);
+  EXPECT_LT(cold, 20);
+}
+
+TEST(Suspended, AnUnknownOneOrARepeatChangesNothing) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}});
+  r.round({event::Suspended{"a", false}, event::Suspended{"x", false}});
+  for (int i = 0; i < 3; i++) EXPECT_EQ(r.sends_of(r.arrive(kSafe)), 1);
+}
+
 TEST(List, IsAskedForAgainWithBackoff) {
   auto s = plain();
   s.subscribe = true;
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -152,6 +152,23 @@
   EXPECT_EQ(Journal(folder, kLimit).held().size(), held);
 }
 
+// Endpoints left out by hand stay so through compaction, whatever is called while it goes on.
+TEST_F(JournalTest, SuspensionsSurviveCompaction) {
+  {
+    Journal j(folder, kLimit);
+    j.suspend("s-1", true), j.suspend("s-2", true), j.suspend("s-2", true);
+    for (MessageId id = 1; id <= 40; id++) j.take(id, message("m", 20'000));
+    EXPECT_TRUE(j.compact());  // a first step, with more to do
+    j.suspend("s-2", false), j.suspend("s-3", true);
+    while (j.compact()) {
+    }
+    EXPECT_TRUE(j.commit());
+  }
+  const Journal j(folder, kLimit);
+  EXPECT_EQ(j.suspended(), (std::set<std::string>{"s-1", "s-3"}));
+  EXPECT_EQ(j.held().size(), 40u);
+}
+
 // Killed at any step of a compaction, with news written between the steps, all that is held is found again.
 TEST_F(JournalTest, CompactionMayStopAtAnyStep) {
   for (int stop = 0; stop < 12; stop++) {
