--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -122,6 +122,13 @@
   std::string order_key;  // empty: none
   bool repeat = false;    // the client hands it in again
 };
+// A call that an earlier life of this relay began and that is still out.
+struct CallOut {
+  EndpointId endpoint;
+  std::uint64_t call = 0;  // the same for messages that share one
+  int attempt = 0;
+  Time sent = 0;
+};
 // A message that this relay had taken on in an earlier life, with what is known of its attempts.
 struct Recovered {
   Arrival message;   // time_left may be below 0
@@ -129,6 +136,11 @@
   // Where one of them may have run (also one whose outcome was never seen): the first such, and how long ago.
   std::optional<int> may_have_run_zone;
   Time may_have_run_ago = 0;
+  std::optional<CallOut> out;  // its end is still to be told
+};
+// What an earlier life on the same clock had learnt, by its learnt(); after the list. What can't be read is left.
+struct Recalled {
+  std::string learnt;
 };
 struct AttemptEnded {
   MessageId id = 0;
@@ -166,7 +178,7 @@
 using Event =
     std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::Recovered,
                  event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote,
-                 event::Suspended>;
+                 event::Suspended, event::Recalled>;
 
 namespace action {
 // Attempts of a message count from 0 in the order of their sends.
@@ -225,6 +237,9 @@
   // in order. `actions` is appended to.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& actions);
 
+  // What is known of endpoints and destinations, told waits too, as text for event::Recalled.
+  std::string learnt() const;
+
   // How many listed endpoints are avoided now: suspended, or taken to be out.
   std::size_t avoided() const;
 
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -89,6 +89,7 @@
   net::steady_timer timer;
   http::request<http::string_body> request;
   AnswerReader answer;
+  std::string seen;     // of the answer, as it came
   Time answer_due = 0;  // for the rest of an answer that has begun; 0: none has
   bool sound = false;   // the connection may be used again
   Time told_wait = 0;
@@ -224,18 +225,25 @@
       state = bad == net::error::eof ? call->answer.end()
               : bad                  ? State::broken
                                      : call->answer.put(chunk_.data(), size);
+      if (!bad) call->seen.append(chunk_.data(), size);
     }
-    if (state == State::whole) return answered(call);
-    if (state == State::broken) return broken(call);
-    const bool begun = call->answer.begun();
-    if (begun != (call->answer_due > 0)) {
-      call->answer_due = begun ? steady_now() + kAnswerTime : 0;
-      arm(call);
-    }
-    read(call);
+    came(call, state);
   });
 }
 
+// Goes on by what has come of the answer.
+void Calls::came(const std::shared_ptr<Call>& call, AnswerReader::State state) {
+  using State = AnswerReader::State;
+  if (state == State::whole) return answered(call);
+  if (state == State::broken) return broken(call);
+  const bool begun = call->answer.begun();
+  if (begun != (call->answer_due > 0)) {
+    call->answer_due = begun ? steady_now() + kAnswerTime : 0;
+    arm(call);
+  }
+  read(call);
+}
+
 // The stream can't be trusted any more: what was sent may have run, whatever the first line said but 200.
 void Calls::broken(const std::shared_ptr<Call>& call) {
   if (call->answer.has_head()) call->told_wait = call->answer.told_wait();
@@ -396,6 +404,46 @@
       end_all(call, Outcome::not_sent);
 }
 
+void Calls::hold_back_unwritten() {
+  for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
+    if (call->stage == Call::Stage::connecting || call->stage == Call::Stage::writing)
+      end_all(call, Outcome::not_sent);
+}
+
+bool Calls::all_written() const {
+  return std::all_of(out_.begin(), out_.end(),
+                     [](const auto& c) { return c->stage == Call::Stage::waiting; });
+}
+
+std::vector<OpenCall> Calls::open_calls() const {
+  std::vector<OpenCall> open;
+  for (const auto& call : out_) {
+    if (call->stage != Call::Stage::waiting) continue;
+    open.push_back({call->connection->socket.native_handle(), call->endpoint, call->connection->address,
+                    call->sent, call->answer_due, call->seen, call->messages, call->given_up});
+  }
+  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.sent < b.sent; });
+  return open;
+}
+
+void Calls::adopt(const OpenCall& open) {
+  const auto call = std::make_shared<Call>(io_, open.endpoint, open.messages);
+  call->connection = std::make_shared<Connection>(io_);
+  call->connection->address = open.address;
+  error_code bad;
+  call->connection->socket.assign(open.address.protocol(), open.socket, bad);
+  if (!bad) call->connection->socket.non_blocking(true, bad);
+  call->sent = open.sent, call->answer_due = open.answer_due;
+  call->seen = open.seen, call->given_up = open.given_up;
+  call->stage = Call::Stage::waiting;
+  out_.insert(call);
+  const auto state = call->answer.put(open.seen.data(), open.seen.size());
+  arm(call);
+  net::post(io_, [this, call, state, bad] {
+    if (call->stage != Call::Stage::done) came(call, bad ? AnswerReader::State::broken : state);
+  });
+}
+
 void Calls::keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
   const auto found = places_.find(endpoint);
   if (found == places_.end()) return;
@@ -429,6 +477,16 @@
   found->second.idle.clear();
 }
 
+void Calls::close_all_idle() {
+  for (auto& [id, place] : places_) place.idle.clear();
+  kept_ = 0;
+}
+
+std::optional<tcp::endpoint> Calls::located(const EndpointId& endpoint) const {
+  const auto found = places_.find(endpoint);
+  return found == places_.end() ? std::nullopt : std::optional(found->second.address);
+}
+
 bool Calls::drop_longest_idle() {
   Place* longest = nullptr;
   for (auto& [id, place] : places_)
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -12,10 +12,12 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "answer.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "clock.hpp"
 #include "log.hpp"
@@ -33,6 +35,17 @@
   std::string wire_id, body;
 };
 
+// A call that was written whole and waits for its answer, as one process hands it to the next.
+struct OpenCall {
+  int socket = -1;
+  EndpointId endpoint;
+  boost::asio::ip::tcp::endpoint address;
+  Time sent = 0, answer_due = 0;
+  std::string seen;                // of its answer
+  std::vector<Outgoing> messages;  // without their bodies
+  std::vector<std::optional<Outcome>> given_up;
+};
+
 struct CallLimits {
   std::size_t slots = 1;  // calls out at once
   Time connect_timeout = 0;
@@ -55,9 +68,18 @@
   void send(const EndpointId& endpoint, std::vector<Outgoing> messages);
   void cancel(MessageId id, int attempt);
   void close_idle(const EndpointId& endpoint);
+  void close_all_idle();
+  std::optional<boost::asio::ip::tcp::endpoint> located(const EndpointId& endpoint) const;
   // Ends, as not sent, the calls to an endpoint of which no byte has gone out.
   void hold_back(const EndpointId& endpoint);
 
+  // Whether all calls out are written whole.
+  bool all_written() const;
+  void hold_back_unwritten();
+  // What another process may go on with, and going on with it.
+  std::vector<OpenCall> open_calls() const;
+  void adopt(const OpenCall& open);
+
   std::size_t out() const { return out_.size(); }
   std::uint64_t written() const { return written_; }  // messages written whole to endpoints
 
@@ -74,6 +96,7 @@
   void connect(const std::shared_ptr<Call>& call, const boost::asio::ip::tcp::endpoint& address);
   void write(const std::shared_ptr<Call>& call);
   void read(const std::shared_ptr<Call>& call);
+  void came(const std::shared_ptr<Call>& call, AnswerReader::State state);
   void answered(const std::shared_ptr<Call>& call);
   void broken(const std::shared_ptr<Call>& call);
   void answered_bundle(const std::shared_ptr<Call>& call);
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -62,11 +62,15 @@
   // Idle for so long that it may be closed when room is short.
   bool stale(Time now) const { return idle() && used_ && now >= since_ + kIdleLeast; }
 
-  void start() {
-    since_ = steady_now();
-    limit(kRequestTime);
+  // On a connection that has stood between requests since then.
+  void start(bool used, Time since) {
+    used_ = used, since_ = since;
+    const auto past = std::chrono::microseconds(steady_now() - since);
+    used ? limit(kIdleTime - past) : limit(kRequestTime - past);
     wait();
   }
+  bool between_requests() const { return idle() || stage_ == Stage::lingering; }
+  OpenClient open() { return {socket_.native_handle(), used_, since_}; }
   // Closes if no request has begun; one that has begun is answered first.
   void drain() {
     if (idle() && !has_bytes()) close();
@@ -265,10 +269,10 @@
   bool closed_ = false, close_after_ = false, doubtful_ = false;
 };
 
-Intake::Intake(net::io_context& io, const tcp::endpoint& listen, const cedarplank::Settings& settings,
+Intake::Intake(net::io_context& io, tcp::acceptor listening, const cedarplank::Settings& settings,
                const cedarplank::adapter::Tables& names, const IntakeLimits& limits, Take take, Ready ready)
     : io_(io),
-      acceptor_(io, listen),
+      acceptor_(std::move(listening)),
       pause_(io),
       settings_(settings),
       names_(names),
@@ -297,14 +301,36 @@
     } else {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      const auto session = std::make_shared<Session>(*this, std::move(socket));
-      sessions_.insert(session);
-      session->start();
+      begin(std::move(socket), false, steady_now());
     }
     accept();
   });
 }
 
+void Intake::begin(tcp::socket socket, bool used, Time since) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->start(used, since);
+}
+
+void Intake::adopt(const OpenClient& client) {
+  tcp::socket socket(io_);
+  error_code bad;
+  socket.assign(acceptor_.local_endpoint().protocol(), client.socket, bad);
+  if (!bad) begin(std::move(socket), client.used, client.since);
+}
+
+std::vector<OpenClient> Intake::open_clients() const {
+  std::vector<OpenClient> open;
+  for (const auto& session : sessions_)
+    if (session->idle()) open.push_back(session->open());
+  return open;
+}
+
+bool Intake::between_requests() const {
+  return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->between_requests(); });
+}
+
 bool Intake::short_of_room() const { return sessions_.size() * kShortOf >= limits_.clients * kShort; }
 
 // One that stands between requests may be closed, one with a request would lose its message.
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string_view>
+#include <vector>
 
 #include "journal.hpp"
 #include "log.hpp"
@@ -22,6 +23,13 @@
 };
 using Reply = std::function<void(const Answer&)>;
 
+// A connection that stands between requests, as one process hands it to the next.
+struct OpenClient {
+  int socket = -1;
+  bool used = false;  // a whole request has come on it
+  Time since = 0;     // it stands so
+};
+
 struct IntakeLimits {
   std::size_t clients = 1;     // connections
   std::size_t body_bytes = 0;  // of all bodies that are being read
@@ -32,8 +40,8 @@
   using Take = std::function<void(Message, Reply)>;
   using Ready = std::function<bool()>;
 
-  // Listens at once. Each message goes to `take`, which answers by the reply, once, then or later.
-  Intake(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen,
+  // Accepts at once. Each message goes to `take`, which answers by the reply, once, then or later.
+  Intake(boost::asio::io_context& io, boost::asio::ip::tcp::acceptor listening,
          const cedarplank::Settings& settings, const cedarplank::adapter::Tables& names,
          const IntakeLimits& limits, Take take, Ready ready);
   ~Intake();
@@ -42,11 +50,18 @@
   void drain(bool on);
   // Whether a request is being read or answered.
   bool busy() const;
+  // Whether one is being read, or answered; those that were turned down don't count.
+  bool between_requests() const;
+  // What another process may go on with, and going on with it.
+  int listener() { return acceptor_.native_handle(); }
+  std::vector<OpenClient> open_clients() const;
+  void adopt(const OpenClient& client);
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
  private:
   class Session;
   void accept();
+  void begin(boost::asio::ip::tcp::socket socket, bool used, Time since);
   void make_room();
   bool short_of_room() const;
 
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -4,18 +4,19 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include <bit>
 #include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
 #include <stdexcept>
 #include <system_error>
 
+#include "packing.hpp"
+
 namespace heronvane {
 namespace {
 
 // A file is this line, then frames: length and CRC-32 of the payload (4 bytes each), the payload.
-// Payload: kind (1 byte), message number (8), fields. Integers are little-endian, as the machine has them.
+// Payload: kind (1 byte), message number (8), fields.
 const std::string kMagic = "heronvane journal 1\n";
 enum Kind : char { kTake = 'T', kSent = 'S', kOutcome = 'O', kEnding = 'E', kOver = 'X', kSuspend = 'H' };
 constexpr MessageId kNoMessage = 0;  // stands in records that are of none
@@ -27,54 +28,11 @@
 constexpr std::uint64_t kHeldShare = 40, kCompactShare = 50, kFullShare = 97;
 constexpr std::size_t kStepBytes = 128 * 1024;  // copied in one step, and one message more
 
-static_assert(std::endian::native == std::endian::little);
-
 [[noreturn]] void fail(const std::string& what) {
   throw std::system_error(errno, std::generic_category(), what);
 }
 
-class Packer {
- public:
-  Packer(Kind kind, MessageId id) { text_.push_back(kind), number(id); }
-  template <class T>
-  Packer& number(T v) {
-    text_.append(reinterpret_cast<const char*>(&v), sizeof v);
-    return *this;
-  }
-  Packer& text(const std::string& s) {
-    number(static_cast<std::uint32_t>(s.size()));
-    text_ += s;
-    return *this;
-  }
-  const std::string& payload() const { return text_; }
-
- private:
-  std::string text_;
-};
-
-class Unpacker {
- public:
-  explicit Unpacker(const std::string& text) : text_(text) {}
-  template <class T>
-  T number() {
-    T v;
-    std::memcpy(&v, bytes(sizeof v), sizeof v);
-    return v;
-  }
-  std::string text() {
-    const auto size = number<std::uint32_t>();
-    return {bytes(size), size};
-  }
-
- private:
-  const char* bytes(std::size_t n) {
-    if (text_.size() - at_ < n) throw std::runtime_error("journal: short record");
-    at_ += n;
-    return text_.data() + at_ - n;
-  }
-  const std::string& text_;
-  std::size_t at_ = 0;
-};
+Packer record(Kind kind, MessageId id) { return Packer().number(kind).number(id); }
 
 std::string framed(const std::string& payload) {
   boost::crc_32_type crc;
@@ -87,7 +45,7 @@
 }
 
 std::string take_record(MessageId id, const Message& m) {
-  return Packer(kTake, id)
+  return record(kTake, id)
       .text(m.id)
       .text(m.message_class)
       .text(m.tenant)
@@ -98,20 +56,20 @@
       .payload();
 }
 std::string sent_record(MessageId id, const Attempt& a) {
-  return Packer(kSent, id).number(a.sent).number(static_cast<std::int32_t>(a.zone)).payload();
+  return record(kSent, id).number(a.sent).number(static_cast<std::int32_t>(a.zone)).payload();
 }
 std::string outcome_record(MessageId id, int attempt, Outcome o) {
-  return Packer(kOutcome, id)
+  return record(kOutcome, id)
       .number(static_cast<std::int32_t>(attempt))
       .number(static_cast<char>(o))
       .payload();
 }
 std::string ending_record(MessageId id, const Ending& e) {
-  return Packer(kEnding, id).number(e.deferred).number(e.again).payload();
+  return record(kEnding, id).number(e.deferred).number(e.again).payload();
 }
 
 std::string suspend_record(const std::string& endpoint, bool on) {
-  return Packer(kSuspend, kNoMessage).text(endpoint).number(on).payload();
+  return record(kSuspend, kNoMessage).text(endpoint).number(on).payload();
 }
 
 // All that is known of a message, as records.
@@ -283,7 +241,7 @@
 void Journal::over(MessageId id) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
-  add(id, Packer(kOver, id).payload());
+  add(id, record(kOver, id).payload());
   forget(it);
 }
 
@@ -325,14 +283,24 @@
 
 bool Journal::wants_compaction() const { return next_ >= 0 || size_ > limit_ / 100 * kCompactShare; }
 
+bool Journal::rest() {
+  if (!commit()) return false;
+  drop_next();
+  return true;
+}
+
+void Journal::drop_next() {
+  if (next_ >= 0) ::close(next_), ::unlink(next_path_.c_str());
+  next_ = -1, next_size_ = 0, next_pending_.clear();
+}
+
 bool Journal::compact() {
   if (!commit()) return true;
   try {
     return compact_step();
   } catch (const std::system_error&) {
     // The first file is whole; without room for the second it must do for now.
-    if (next_ >= 0) ::close(next_), ::unlink(next_path_.c_str());
-    next_ = -1, next_size_ = 0, next_pending_.clear();
+    drop_next();
     return false;
   }
 }
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -80,12 +80,16 @@
   // One bounded step; true while more are to do.
   bool compact();
 
+  // Leaves one whole file, for another process to read; false where the disk won't take the last records now.
+  bool rest();
+
   std::uint64_t bytes() const;  // of both files
 
  private:
   void forget(std::map<MessageId, Held>::iterator it);
   void add(MessageId id, const std::string& payload);
   bool compact_step();
+  void drop_next();
   void recover();
   void apply(const std::string& payload);
   void write_file(int file, std::uint64_t& size, const std::string& bytes);
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,5 +1,6 @@
 // heronvane: one relay on real sockets. LB_CONFIG names its configuration, LB_STATE the folder that lasts.
-// SIGTERM and SIGINT drain and end it, SIGHUP has the configuration read again.
+// SIGTERM and SIGINT drain and end it, SIGHUP has the configuration read again. Started next to one that runs
+// on the same folder, it takes over from it.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -7,6 +8,7 @@
 #include <functional>
 
 #include "config.hpp"
+#include "handover.hpp"
 #include "log.hpp"
 #include "relay.hpp"
 
@@ -27,10 +29,12 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
+    const heronvane::Config config = heronvane::load_config();
+    // While another process still owns the folder, a signal ends this one, which owes nothing yet.
+    heronvane::Possession possession = heronvane::take_possession(config.state_folder);
     // Before anything slow: a signal that comes while the journal is read waits for the loop.
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-    const heronvane::Config config = heronvane::load_config();
-    heronvane::Relay relay(io, config);
+    heronvane::Relay relay(io, config, std::move(possession));
     ends.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) relay.stop([&io] { io.stop(); });
     });
--- a/relay/operators.cpp
+++ b/relay/operators.cpp
@@ -21,7 +21,7 @@
 // For the whole call to come, and for the reply to go and the caller to leave. Guards against callers that
 // hold a connection and say nothing.
 constexpr auto kCallTime = std::chrono::seconds(6), kReplyTime = std::chrono::seconds(2);
-constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+constexpr auto kAcceptPause = std::chrono::milliseconds(50), kListenPause = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -115,12 +115,27 @@
   bool replied_ = false, closed_ = false;
 };
 
-Operators::Operators(net::io_context& io, const tcp::endpoint& listen, std::size_t most, Handler handler)
-    : io_(io), acceptor_(io, listen), pause_(io), most_(most), handler_(std::move(handler)) {
-  accept();
+Operators::Operators(net::io_context& io, const tcp::endpoint& address, std::size_t most, Handler handler)
+    : io_(io), address_(address), acceptor_(io), pause_(io), most_(most), handler_(std::move(handler)) {
+  listen();
 }
 Operators::~Operators() = default;
 
+void Operators::listen() {
+  error_code bad, ignored;
+  acceptor_.open(address_.protocol(), bad);
+  if (!bad) acceptor_.set_option(tcp::acceptor::reuse_address(true), bad);
+  if (!bad) acceptor_.bind(address_, bad);
+  if (!bad) acceptor_.listen(net::socket_base::max_listen_connections, bad);
+  if (!bad) return accept();
+  log("operators: can't listen: " + bad.message());
+  acceptor_.close(ignored);
+  pause_.expires_after(kListenPause);
+  pause_.async_wait([this](error_code stopped) {
+    if (!stopped) listen();
+  });
+}
+
 void Operators::accept() {
   acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
     if (bad == net::error::operation_aborted) return;
--- a/relay/operators.hpp
+++ b/relay/operators.hpp
@@ -31,17 +31,20 @@
   // The whole reply to a call, each line with its end.
   using Handler = std::function<std::string(const OperatorCall&)>;
 
-  // Listens at once, for `most` callers at a time.
-  Operators(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, std::size_t most,
+  // For `most` callers at a time; listens as soon as the address can be had. Guards against a relay that does
+  // not start, or not take over, for want of its operators' address.
+  Operators(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t most,
             Handler handler);
   ~Operators();
 
  private:
   class Session;
+  void listen();
   void accept();
   void make_room();
 
   boost::asio::io_context& io_;
+  boost::asio::ip::tcp::endpoint address_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   std::size_t most_;
--- a/relay/peers.cpp
+++ b/relay/peers.cpp
@@ -18,12 +18,16 @@
 
 Peers::Peers(net::io_context& io, const udp::endpoint& listen, std::vector<udp::endpoint> peers,
              std::optional<udp::endpoint> all, int own_rank, Heard heard)
-    : socket_(io, listen),
+    : socket_(io),
       pause_(io),
       peers_(std::move(peers)),
       all_(all),
       own_rank_(own_rank),
       heard_(std::move(heard)) {
+  socket_.open(listen.protocol());
+  // The process that this one took over from may not quite have ended.
+  socket_.set_option(udp::socket::reuse_address(true));
+  socket_.bind(listen);
   socket_.non_blocking(true);
   receive();
 }
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -35,6 +35,7 @@
   void move(const boost::asio::ip::tcp::endpoint& address);
   // Sent until the platform has it; `noticed` tells when.
   void notice(MessageId id, const std::string& wire_id, const Ending& ending);
+  std::int64_t index() const { return index_; }  // version of the list as it was told last
   bool notices_owed() const { return !owed_.empty(); }
 
  private:
--- a/relay/recent.hpp
+++ b/relay/recent.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "clock.hpp"
 
@@ -20,6 +21,12 @@
     }
     if (ids_.insert(id).second) order_.emplace_back(now + kept_, id);
   }
+  // As another process may go on with: when each is forgotten, and its id.
+  const std::deque<std::pair<Time, std::string>>& all() const { return order_; }
+  void restore(const std::vector<std::pair<Time, std::string>>& all) {
+    for (const auto& [until, id] : all)
+      if (ids_.insert(id).second) order_.emplace_back(until, id);
+  }
   bool has(const std::string& id) const { return ids_.count(id) > 0; }
   std::size_t size() const { return ids_.size(); }
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <cstdlib>
 
 #include "log.hpp"
 
@@ -12,6 +13,7 @@
 namespace action = cedarplank::action;
 using boost::system::error_code;
 using cedarplank::Listing;
+using net::ip::tcp;
 
 namespace {
 
@@ -26,6 +28,13 @@
 constexpr Time kDrainAccept = 600'000, kDrainSend = 1'500'000, kDrainMost = 3'000'000;
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
 
+// A process that asks to take over waits so long, in such steps, for an instant at which nothing is under
+// way.
+constexpr Time kQuietMost = 400'000;
+constexpr auto kQuietLook = std::chrono::milliseconds(1);
+// Descriptors that each of two processes holds besides clients' and endpoints' connections.
+constexpr std::size_t kOtherFiles = 48;
+
 std::chrono::microseconds span(Time t) { return std::chrono::microseconds(std::max<Time>(t, 0)); }
 
 CallLimits call_limits(const Config& c) {
@@ -38,6 +47,11 @@
   return limits;
 }
 
+// The list as an earlier life of this relay last had it.
+const MemberList& known_to(const Config& config, const Possession& possession) {
+  return possession.estate ? possession.estate->list : config.known;
+}
+
 Time longest_deadline(const cedarplank::Settings& s) {
   Time longest = 0;
   for (const auto& c : s.classes) longest = std::max(longest, c.deadline);
@@ -56,14 +70,15 @@
 
 }  // namespace
 
-Relay::Relay(net::io_context& io, const Config& config)
+Relay::Relay(net::io_context& io, const Config& config, Possession possession)
     : io_(io),
       config_(config),
+      possession_(std::move(possession)),
       journal_(config.state_folder, config.disk_bytes),
       dispatcher_(config.settings, config.seed),
       calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
       platform_(
-          io, config.discovery, config.names, config.known.index,
+          io, config.discovery, config.names, known_to(config, possession_).index,
           [this](MemberList list) { listed(std::move(list)); }, [this] { happened(event::ListFailed{}); },
           [this](const std::vector<MessageId>& ids) {
             for (const MessageId id : ids) noticed(id);
@@ -74,26 +89,42 @@
       round_timer_(io),
       module_timer_(io),
       stall_timer_(io),
-      drain_timer_(io) {
+      drain_timer_(io),
+      handover_timer_(io) {
   const auto& s = config.settings;
   if (s.peers && config.peer_listen)
     peers_.emplace(io, *config.peer_listen, config.peers, config.peers_all, s.rank,
                    [this](int from, std::string body) {
                      happened(event::PeerNote{from, std::move(body)});
                    });
-  for (const auto& m : config.known.members) {
+  const MemberList& known = known_to(config, possession_);
+  for (const auto& m : known.members) {
     calls_.locate(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
     destinations_.insert(m.endpoint.destination);
     ever_listed_.insert(m.endpoint.id);
   }
-  events_.push_back(event::ListWhole{endpoints_of(config.known), true});
-  recover();
+  events_.push_back(event::ListWhole{endpoints_of(known), true});
+  if (possession_.estate) take_over(*possession_.estate);
+  recover(possession_.estate ? possession_.estate->calls : std::vector<OpenCall>());
   round();
   intake_.emplace(
-      io, config.listen, config.settings, config.names,
+      io, listener(), config.settings, config.names,
       IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
       [this](Message m, Reply reply) { arrive(std::move(m), std::move(reply)); }, [this] { return ready(); });
+  if (possession_.estate) {
+    for (const auto& client : possession_.estate->clients) intake_->adopt(client);
+    if (paused_) intake_->drain(true);
+    log("took over " + std::to_string(possession_.estate->clients.size()) + " clients' connections, " +
+        std::to_string(possession_.estate->calls.size()) + " calls out");
+    possession_.estate.reset();
+  }
+  successors_.emplace(io, config.state_folder, [this](Channel channel) {
+    if (successor_) return;
+    successor_ = std::move(channel);
+    asked_at_ = steady_now();
+    hand_over();
+  });
   if (config.operators)
     operators_.emplace(io, *config.operators, config.operator_connections,
                        [this](const OperatorCall& call) { return operate(call); });
@@ -101,10 +132,13 @@
 }
 
 // What was taken on in an earlier life is still owed its end.
-void Relay::recover() {
+void Relay::recover(const std::vector<OpenCall>& calls) {
   if (journal_.dropped_bytes() > 0)
     log("journal: dropped " + std::to_string(journal_.dropped_bytes()) + " torn bytes at its end");
   for (const auto& endpoint : journal_.suspended()) events_.push_back(event::Suspended{endpoint, true});
+  std::map<MessageId, event::CallOut> out;
+  for (std::size_t i = 0; i < calls.size(); i++)
+    for (const auto& m : calls[i].messages) out[m.id] = {calls[i].endpoint, i, m.attempt, calls[i].sent};
   std::vector<MessageId> unknown;
   for (const auto& [id, held] : journal_.held()) {
     next_number_ = id + 1;
@@ -120,8 +154,10 @@
     event::Recovered r;
     r.message = arrival(id, held.message);
     r.attempts = static_cast<int>(held.attempts.size());
+    if (const auto call = out.find(id); call != out.end()) r.out = call->second;
     for (const auto& a : held.attempts) {
-      if (!a.may_have_run() || r.may_have_run_zone) continue;
+      const bool is_out = r.out && &a - held.attempts.data() == r.out->attempt;
+      if (is_out || !a.may_have_run() || r.may_have_run_zone) continue;
       r.may_have_run_zone = a.zone;
       r.may_have_run_ago = std::max<Time>(wall_now() - a.sent, 0);
     }
@@ -133,6 +169,22 @@
   if (!journal_.held().empty()) log("recovered " + std::to_string(journal_.held().size()) + " messages");
 }
 
+// What is not in the journal of what another process handed over.
+void Relay::take_over(const Estate& estate) {
+  list_told_ = estate.list_told, paused_ = estate.paused;
+  destinations_.insert(estate.destinations.begin(), estate.destinations.end());
+  ever_listed_.insert(estate.ever_listed.begin(), estate.ever_listed.end());
+  recent_.restore(estate.recent);
+  events_.push_back(event::Recalled{estate.learnt});
+  for (const auto& call : estate.calls) calls_.adopt(call);
+}
+
+// The other process's, which never stops listening; else a new one.
+tcp::acceptor Relay::listener() const {
+  if (!possession_.estate) return tcp::acceptor(io_, config_.listen);
+  return tcp::acceptor(io_, config_.listen.protocol(), possession_.estate->listener);
+}
+
 event::Arrival Relay::arrival(MessageId id, const Message& m) const {
   event::Arrival a;
   a.id = id;
@@ -500,6 +552,55 @@
   platform_.move(config.discovery);
 }
 
+// ---- The process that takes over. ----
+Estate Relay::estate() {
+  Estate e;
+  e.list.index = platform_.index();
+  for (const auto& [id, endpoint] : endpoints_)
+    if (const auto address = calls_.located(id)) e.list.members.push_back({endpoint, *address});
+  e.list_told = list_told_, e.paused = paused_;
+  e.learnt = dispatcher_.learnt();
+  e.ever_listed.assign(ever_listed_.begin(), ever_listed_.end());
+  e.destinations.assign(destinations_.begin(), destinations_.end());
+  e.recent.assign(recent_.all().begin(), recent_.all().end());
+  e.calls = calls_.open_calls();
+  e.clients = intake_->open_clients();
+  e.listener = intake_->listener();
+  // For an instant both processes hold each descriptor: clients that would be too many lose an idle
+  // connection.
+  const std::size_t all = config_.client_connections + config_.endpoint_connections;
+  const std::size_t room = all / 2 - std::min(all / 2, e.calls.size() + kOtherFiles);
+  if (e.clients.size() > room) e.clients.resize(room);
+  return e;
+}
+
+void Relay::hand_over() {
+  // Calls that are being connected or written and requests that are being read can't change hands: an instant
+  // without them comes soon. Where it does not, such calls end as not sent and such clients are cut off.
+  const bool quiet = events_.empty() && arrived_.empty() && unanswered_.empty() && stalled_.empty() &&
+                     !compacting_ && calls_.all_written() && intake_->between_requests();
+  if (!quiet && steady_now() - asked_at_ < kQuietMost) {
+    handover_timer_.expires_after(kQuietLook);
+    return handover_timer_.async_wait([this](error_code bad) {
+      if (!bad) hand_over();
+    });
+  }
+  if (!quiet) round();
+  calls_.hold_back_unwritten();
+  calls_.close_all_idle();
+  Channel successor = std::move(*successor_);
+  successor_.reset();
+  if (unwritten_ || !journal_.rest()) return log("handover: not while the journal can't be written");
+  const Estate all = estate();
+  if (!heronvane::hand_over(successor, all, possession_.lock.get()))
+    return log("handover: the other process did not take over; going on");
+  log("handed over: " + std::to_string(journal_.held().size()) + " messages held, " +
+      std::to_string(all.clients.size()) + " clients' connections, " + std::to_string(all.calls.size()) +
+      " calls out");
+  // Nothing more is done here: closing in an orderly way would shut connections that are the other's by now.
+  std::_Exit(0);
+}
+
 // ---- The end. ----
 void Relay::stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -17,6 +17,7 @@
 #include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
 #include "figures.hpp"
+#include "handover.hpp"
 #include "intake.hpp"
 #include "journal.hpp"
 #include "operators.hpp"
@@ -28,8 +29,9 @@
 
 class Relay {
  public:
-  // Takes back what an earlier life left in the folder, then listens.
-  Relay(boost::asio::io_context& io, const Config& config);
+  // Takes back what an earlier life left in the folder, goes on with what another process handed over, then
+  // listens.
+  Relay(boost::asio::io_context& io, const Config& config, Possession possession);
 
   // Takes over what may change while the relay runs: where discovery is found.
   void reconfigure(const Config& config);
@@ -53,7 +55,13 @@
     Reply reply;
   };
 
-  void recover();
+  void recover(const std::vector<OpenCall>& calls);
+  void take_over(const Estate& estate);
+  boost::asio::ip::tcp::acceptor listener() const;
+  // Once nothing is under way in this process, or soon: all to the process that asks, and the end of this
+  // one.
+  void hand_over();
+  Estate estate();
   void arrive(Message message, Reply reply);
   void ended(const cedarplank::event::AttemptEnded& e);
   void listed(MemberList list);
@@ -89,6 +97,7 @@
 
   boost::asio::io_context& io_;
   const Config& config_;
+  Possession possession_;
   Journal journal_;
   cedarplank::Dispatcher dispatcher_;
   Calls calls_;
@@ -115,10 +124,13 @@
   bool unwritten_ = false;  // the journal could not be written
   bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
   bool paused_ = false;  // by operators: clients are sent away
-  boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_;
+  boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_, handover_timer_;
+  std::optional<Channel> successor_;  // asks to take over
+  Time asked_at_ = 0;
   std::function<void()> done_;
   std::optional<Intake> intake_;  // these last: they listen once all else stands
   std::optional<Operators> operators_;
+  std::optional<Successors> successors_;
 };
 
 }  // namespace heronvane
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "cedarplank/dispatcher.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <deque>
 #include <limits>
@@ -13,6 +14,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <sstream>
 #include <stdexcept>
 
 namespace cedarplank {
@@ -80,6 +82,34 @@
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
+// ---- What has been learnt, as text: a line of fields each, in the order in which each() names them. ----
+const std::string kLearnt = "learnt-1";
+
+template <class T>
+void write_line(std::ostringstream& out, const std::string& name, T& of) {
+  out << name;
+  of.each([&out](auto v) {
+    char text[64];
+    out << ' ' << std::string(text, std::to_chars(text, text + sizeof text, static_cast<double>(v)).ptr);
+  });
+  out << '\n';
+}
+// All of the line or nothing.
+template <class T>
+void read_line(std::istringstream& in, T& of) {
+  T read = of;
+  bool whole = true;
+  read.each([&](auto& v) {
+    std::string text;
+    double number = 0;
+    in >> text;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    whole = whole && error == std::errc() && end == text.data() + text.size();
+    if (whole) v = static_cast<std::remove_reference_t<decltype(v)>>(number);
+  });
+  if (whole && (in >> std::ws).eof()) of = read;
+}
+
 const std::string kNoteRefused = "1r";  // a note between relays: its version, its kind, then the endpoint
 constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
@@ -99,6 +129,10 @@
     const double seen = 1 - std::exp(-(seconds(now - first_) + 1) / memory_);
     return sum_ / memory_ / seen;
   }
+  template <class F>
+  void each(F&& f) {
+    f(sum_), f(first_), f(last_);
+  }
 
  private:
   void decay(Time now) {
@@ -120,6 +154,11 @@
   Rate served;
   int refusals = 0;  // since the last serve
   std::size_t kind = 0;
+  template <class F>
+  void each(F&& f) {
+    f(delay), f(delay_at), f(pace), f(tokens), f(tokens_at), f(cut_at), f(raise_at), f(wait_until), served.each(f);
+    f(refusals), f(let_through), f(let_at), f(told_at), f(hold_until), f(refused_from);
+  }
   double let_through = 1;  // share of attempts let through after refusals that this relay or others met
   Time let_at = -kNever, told_at = -kNever, hold_until = 0;
   Time refused_from = 0;
@@ -154,6 +193,13 @@
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
   std::uint64_t open_call = 0;  // call begun in this round, for bundling
+  template <class F>
+  void each(F&& f) {
+    own.each(f), served.each(f), asked.each(f);
+    f(bundle), f(latency), f(usual), f(fail_share), f(fail_run), f(strays), f(stray_share), f(served_at);
+    f(served_sent), f(doubt_run), f(idle_closed), f(use_gap), f(used_at), f(health), f(usual_rate), f(since);
+    f(budget), f(budget_at), f(next_trial), f(call_cap), f(capped_at);
+  }
 };
 
 struct DestinationState {
@@ -187,9 +233,20 @@
   Time rest_until = 0;
 };
 
+struct Overall {  // learnt of no endpoint in particular
+  std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
+  double stray_share = 0;             // of calls that fail at endpoints which serve on
+  double slowness = 1;                // recent latencies of all serves, in usual ones
+  template <class F>
+  void each(F&& f) {
+    f(stray_share), f(slowness);
+    for (auto& share : after_refusal) f(share);
+  }
+};
+
 }  // namespace
 
-struct Dispatcher::State {
+struct Dispatcher::State : Overall {
   Settings set;
   std::mt19937_64 random;
   Time now = 0;
@@ -205,13 +262,11 @@
   std::vector<double> share_tokens;
   std::vector<Time> share_at;
   double unit = 0.1, shortest_aim = 1;
-  std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
-  double stray_share = 0;             // of calls that fail at endpoints which serve on
-  double slowness = 1;                // recent latencies of all serves, in usual ones
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
   std::set<EndpointId> suspended;  // by operators, listed or not
+  std::map<std::uint64_t, std::uint64_t> taken_over;  // calls of an earlier life, and their numbers here
   std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
@@ -570,11 +625,49 @@
     Message& m = messages.at(ev.message.id);
     m.sends = ev.attempts;
     m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
+    if (ev.out) return take_over(m, *ev.out);
     const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
     if (!barred && m.sends < set.attempts_max && now < latest_send(m)) return;
     finish(m, false);
     forget(messages.find(m.id));
   }
+  // A call that is still out holds its slot and its message, and tells what becomes of the endpoint.
+  void take_over(Message& m, const event::CallOut& o) {
+    if (endpoints.count(o.endpoint) == 0)
+      take({.id = o.endpoint, .destination = m.destination, .listing = Listing::gone});
+    EndpointState& e = endpoints.at(o.endpoint);
+    const auto [at, fresh] = taken_over.try_emplace(o.call, next_call);
+    if (fresh) calls[next_call++] = Call{&e, o.sent, 0, 0, false}, e.calls.insert(at->second);
+    Call& call = calls.at(at->second);
+    call.messages++, call.left++;
+    m.out[o.attempt] = at->second;
+  }
+  std::string learnt() {
+    std::ostringstream all;
+    all << kLearnt << '\n';
+    write_line(all, "relay", static_cast<Overall&>(*this));
+    for (auto& [id, d] : destinations) write_line(all, "destination " + std::to_string(id), d.target);
+    for (auto& [id, e] : endpoints) write_line(all, "endpoint " + id, e);
+    return all.str();
+  }
+  void on(const event::Recalled& ev) {
+    std::istringstream all(ev.learnt);
+    std::string line, what, id;
+    if (!std::getline(all, line) || line != kLearnt) return;
+    while (std::getline(all, line)) {
+      std::istringstream in(line);
+      in >> what;
+      if (what == "relay") {
+        read_line<Overall>(in, *this);
+      } else if (what == "destination" && in >> id) {
+        const auto it = std::find_if(destinations.begin(), destinations.end(),
+                                     [&](const auto& d) { return std::to_string(d.first) == id; });
+        if (it != destinations.end()) read_line(in, it->second.target);
+      } else if (what == "endpoint" && in >> id) {
+        if (const auto it = endpoints.find(id); it != endpoints.end()) read_line(in, it->second);
+      }
+    }
+  }
   // Beyond its share a tenant's messages are worth little; the share is split over the relays.
   double share_left(int tenant) {
     if (tenant < 0 || tenant >= static_cast<int>(set.tenants.size())) return 1;
@@ -881,6 +974,7 @@
   void handle(Time at, const std::vector<Event>& events, std::vector<Action>& actions) {
     now = std::max(now, at), out = &actions, wake = kNever;
     for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
+    taken_over.clear();
     if (set.subscribe) ask();
     dispatch();
     drop_unused();
@@ -934,6 +1028,8 @@
          s.resting.size() + s.suspended.size();
 }
 
+std::string Dispatcher::learnt() const { return state_->learnt(); }
+
 std::size_t Dispatcher::avoided() const {
   const auto& all = state_->endpoints;
   return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& entry) {
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -528,6 +528,62 @@
   for (Time at : r.idle_closed["busy"]) EXPECT_LT(at, 10 * kS);  // until its gaps are known
 }
 
+// What one life has learnt binds the next: told waits, paces, health; and what can't be read is left.
+TEST(Learnt, BindsTheNextLife) {
+  Relay first;
+  const Endpoint a{.id = "a", .destination = 1}, b{.id = "b", .destination = 2};
+  first.list({a, b});
+  first.end(first.arrive(kSafe, 1), Outcome::full, 900 * kMs);
+  for (int i = 0; i < 6; i++) {
+    const auto id = first.arrive(kSafe, 2);
+    if (first.sends_of(id) > 0) first.end(id, Outcome::connect_failed);
+  }
+  EXPECT_EQ(first.avoided(), 1u);
+  Relay next;
+  next.now = first.now;
+  next.list({a, b});
+  next.round({event::Recalled{first.learnt()}});
+  EXPECT_EQ(next.learnt(), first.learnt());
+  EXPECT_EQ(next.avoided(), 1u);
+  const auto held = next.arrive(kSafe, 1);
+  next.run_to(first.now + 890 * kMs);
+  EXPECT_EQ(next.sends_of(held), 0);
+  next.run_to(first.now + 2 * kS);
+  EXPECT_EQ(next.sends_of(held), 1);
+  Relay other;
+  other.list({a});
+  const std::string before = other.learnt();
+  for (const char* odd : {"", "learnt-0\nrelay 1 2", "learnt-1\nendpoint a 1 2\nendpoint x 1\nrelay x", "learnt-1"})
+    other.round({event::Recalled{odd}});
+  EXPECT_EQ(other.learnt(), before);
+}
+
+// A call that an earlier life left out holds its message and its slot until its end is told.
+TEST(Learnt, ACallLeftOutIsStillOut) {
+  Settings s = plain();
+  s.slots = 1;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  event::Recovered one;
+  one.message.id = 900, one.message.destination = 1, one.message.message_class = kUnsafe;
+  one.message.time_left = 10 * kS;
+  one.attempts = 1;
+  one.out = event::CallOut{"a", 7, 0, r.now - kS};
+  event::Recovered gone = one;
+  gone.message.id = 901, gone.out->endpoint = "no longer listed", gone.out->call = 8;
+  r.round({one, gone});
+  const auto waiting = r.arrive(kSafe);
+  EXPECT_EQ(r.sends_of(waiting) + r.sends_of(900) + r.sends_of(901), 0);
+  EXPECT_TRUE(r.failed.empty());
+  for (const auto& from : {one, gone}) {
+    event::AttemptEnded e;
+    e.id = from.message.id, e.attempt = 0, e.endpoint = from.out->endpoint, e.outcome = Outcome::served;
+    e.closed = true;
+    r.round({e});
+  }
+  EXPECT_EQ(r.sends_of(waiting), 1);
+}
+
 // Like one that drains, whatever the list says; and cold when it returns, however long that took.
 TEST(Suspended, GetsNothingAndReturnsCold) {
   Relay r;
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,255 @@
+// One process takes over from another on the same folder. The real program meets itself, or a stand-in that
+// leaves at each step of the handover.
+#include "handover.hpp"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+
+#include <set>
+
+#include "relay_harness.hpp"
+
+namespace heronvane::testing {
+namespace {
+
+const char* const kSafe = "load-status";
+const char* const kUnsafe = "pay-and-order";
+const std::string kHello = "heronvane handover 1\n";
+
+class HandoverTest : public RelayTest {
+ protected:
+  ~HandoverTest() override {
+    if (first > 0) ::kill(first, SIGKILL), ::waitpid(first, nullptr, 0);
+  }
+  // A second process next to the running one, which becomes `first`.
+  void start_beside() {
+    first = child;
+    spawn(config());
+  }
+  void wait_first_ends() {
+    int status = 0;
+    wait_for([&] { return ::waitpid(first, &status, WNOHANG) == first; }, "the first process ends");
+    first = -1;
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  }
+  sockaddr_un address() const {
+    sockaddr_un a{};
+    a.sun_family = AF_UNIX;
+    (folder + "/state/handover").copy(a.sun_path, sizeof a.sun_path - 1);
+    return a;
+  }
+  Channel ask() {
+    Descriptor socket(::socket(AF_UNIX, SOCK_STREAM, 0));
+    const auto to = address();
+    wait_for([&] { return ::connect(socket.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0; },
+             "the owner can be asked");
+    Channel channel(std::move(socket));
+    EXPECT_TRUE(channel.send(kHello));
+    return channel;
+  }
+  // Takes all parts, with their descriptors.
+  static std::vector<Descriptor> parts(Channel& channel) {
+    std::vector<Descriptor> all;
+    std::string payload;
+    for (bool more = true; more && payload != "E";) {
+      Descriptor fd;
+      more = channel.receive(payload, fd);
+      EXPECT_TRUE(more);
+      if (fd) all.push_back(std::move(fd));
+    }
+    return all;
+  }
+
+  pid_t first = -1;
+};
+
+// Calls out, clients' connections, the listening socket and what is held change hands; nothing ends, nothing
+// is sent twice.
+TEST_F(HandoverTest, ASecondProcessGoesOnWithAllThatTheFirstHad) {
+  endpoint.on_request(stay_silent);
+  start();
+  const auto client = connect();
+  client->write(request("m1", kUnsafe));
+  wait_for([&] { return client->answers.size() == 1 && endpoint.got.size() == 1; }, "a call is out");
+  start_beside();
+  wait_first_ends();
+  client->write(request("m2", kUnsafe));
+  wait_for([&] { return client->answers.size() == 2; }, "the answer on the connection of before");
+  EXPECT_EQ(client->answers[1].result_int(), 202u);
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);  // it is known here too
+  wait_for([&] { return endpoint.got.size() == 2; }, "the second call");
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m2");
+  EXPECT_FALSE(endpoint.got[0].session->ended);
+  for (const auto& got : std::vector<Got>(endpoint.got)) got.session->answer(200);
+  endpoint.on_request(answer_ok);
+  EXPECT_EQ(hand_in("m3", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 3; }, "the third call");
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);  // over by now, and still known
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  EXPECT_EQ(endpoint.got.size(), 3u);
+  EXPECT_EQ(finals, "");
+  EXPECT_NE(logged().find("stopped: 0 messages left"), std::string::npos);
+}
+
+// An answer of which the first process has read a part is read to its end by the second.
+TEST_F(HandoverTest, AnAnswerInPiecesIsReadOn) {
+  workers = 1;
+  endpoint.on_request([](const Got& g) { g.session->write("HTTP/1.1 2"); });
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  start_beside();
+  wait_first_ends();
+  endpoint.got[0].session->write("00 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(hand_in("m2", kUnsafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "its slot is free");
+  EXPECT_EQ(finals, "");
+}
+
+// A slot that a call of the first process holds is held.
+TEST_F(HandoverTest, ACallOutHoldsItsSlotAcross) {
+  workers = 1;
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  start_beside();
+  wait_first_ends();
+  EXPECT_EQ(hand_in("m2", kUnsafe, "x", "24000m"), 202u);
+  EXPECT_EQ(hand_in("m3", kUnsafe, "x", "24000m"), 202u);
+  EXPECT_EQ(endpoint.got.size(), 1u);
+  endpoint.got[0].session->answer(200);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the next call once it has ended");
+}
+
+TEST_F(HandoverTest, AToldWaitBindsAcross) {
+  std::chrono::steady_clock::time_point told;
+  endpoint.on_request([&](const Got& g) {
+    told = std::chrono::steady_clock::now();
+    g.session->answer(429, "X-Come-Back-Ms: 1500\r\n");
+  });
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call that is told to wait");
+  const auto until = told + std::chrono::milliseconds(1500);
+  endpoint.on_request(answer_ok);
+  EXPECT_EQ(hand_in("m2", kUnsafe, "x", "24000m"), 202u);
+  start_beside();
+  wait_first_ends();
+  EXPECT_EQ(hand_in("m3", kUnsafe, "x", "24000m"), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the next call");
+  EXPECT_GE(std::chrono::steady_clock::now(), until);
+}
+
+// Whatever the step at which the one that asks leaves, the owner goes on, and nothing is lost or sent twice.
+TEST_F(HandoverTest, AnAskerThatLeavesAtAnyStepChangesNothing) {
+  endpoint.on_request(stay_silent);
+  start();
+  const auto client = connect();
+  client->write(request("m0", kUnsafe, "x", "24000m"));
+  wait_for([&] { return endpoint.got.size() == 1; }, "a call is out");
+  for (int step = 0; step < 4; step++) {
+    {
+      Channel channel = ask();
+      if (step >= 1) {
+        const auto descriptors = parts(channel);
+        EXPECT_GE(descriptors.size(), 4u);  // the lock, the listening socket, the client, the call
+        if (step >= 2) {
+          EXPECT_TRUE(channel.send("ready"));
+        }
+        if (step >= 3) {
+          EXPECT_TRUE(channel.receive_word("yours"));
+        }
+      }
+    }
+    client->write(request("m" + std::to_string(step + 1), kUnsafe, "x", "24000m"));
+    const auto answers = static_cast<std::size_t>(step) + 2;
+    wait_for([&] { return client->answers.size() == answers; }, "the answer of the owner");
+    EXPECT_EQ(client->answers.back().result_int(), 202u);
+  }
+  for (const auto& got : std::vector<Got>(endpoint.got)) got.session->answer(200);
+  endpoint.on_request(answer_ok);
+  wait_for([&] { return endpoint.got.size() == 5; }, "one call each");
+  EXPECT_EQ(health(), 200u);
+  EXPECT_EQ(finals, "");
+}
+
+// Whatever the step at which the owner is killed, the one that asks starts as after any restart.
+TEST_F(HandoverTest, AnOwnerThatIsKilledAtAnyStepLeavesTheFolder) {
+  for (int step = 0; step < 4; step++) {
+    Descriptor listening(::socket(AF_UNIX, SOCK_STREAM, 0));
+    const auto at = address();
+    ::unlink(at.sun_path);
+    ASSERT_EQ(::bind(listening.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+    ASSERT_EQ(::listen(listening.get(), 1), 0);
+    {
+      Descriptor lock(::open((folder + "/state/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+      ASSERT_EQ(::flock(lock.get(), LOCK_EX | LOCK_NB), 0);
+      members = member("s-1", endpoint.address());
+      spawn(config());
+      Channel channel(Descriptor(::accept(listening.get(), nullptr, nullptr)));
+      EXPECT_TRUE(channel.receive_word(kHello));
+      if (step >= 1) {
+        EXPECT_TRUE(channel.send("K", lock.get()));
+      }
+      if (step >= 2) {
+        EXPECT_TRUE(channel.send("L", listening.get()));
+      }
+      if (step >= 3) {
+        EXPECT_TRUE(channel.send("E") && channel.receive_word("ready"));
+      }
+      listening = Descriptor();
+    }
+    wait_for([&] { return health() == 200; }, "it is ready");
+    EXPECT_EQ(hand_in("m" + std::to_string(step), kSafe), 202u);
+    wait_for([&] { return endpoint.got.size() == static_cast<std::size_t>(step) + 1; }, "the call");
+    kill_relay();
+  }
+}
+
+// A process that stands still hands nothing over; the next one takes up what it held once it has ended, and a
+// call that was out may have run.
+TEST_F(HandoverTest, AnOwnerThatIsStuckIsWaitedFor) {
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
+  EXPECT_EQ(hand_in("m2", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "both calls");
+  ::kill(child, SIGSTOP);
+  start_beside();
+  ::kill(first, SIGKILL);
+  wait_for([&] { return ::waitpid(first, nullptr, WNOHANG) == first; }, "its end");
+  first = -1;
+  wait_for([&] { return health() == 200; }, "the next one is ready");
+  wait_for([&] { return endpoint.got.size() == 3 && !finals.empty(); }, "what was held goes on");
+  EXPECT_EQ(endpoint.got[2].request["X-Request-Id"], "m2");
+  EXPECT_EQ(finals, "{\"id\":\"m1\",\"status\":\"undeliverable\"}\n");
+}
+
+// Many in a row, and clients that hand in all the while: each message is delivered once.
+TEST_F(HandoverTest, UpgradesInARowUnderLoadLoseNothing) {
+  start();
+  std::size_t handed = 0;
+  for (int round = 0; round < 4; round++) {
+    start_beside();
+    while (first > 0) {
+      handed++;
+      EXPECT_EQ(hand_in("m" + std::to_string(handed), handed % 2 ? kSafe : kUnsafe), 202u);
+      if (::waitpid(first, nullptr, WNOHANG) == first) first = -1;
+    }
+  }
+  wait_for([&] { return endpoint.got.size() >= handed; }, "every call");
+  ::kill(child, SIGTERM);
+  EXPECT_EQ(wait_exit(), 0);
+  std::set<std::string> ids;
+  for (const auto& got : endpoint.got) ids.insert(std::string(got.request["X-Request-Id"]));
+  EXPECT_EQ(ids.size(), handed);
+  EXPECT_EQ(endpoint.got.size(), handed);
+  EXPECT_EQ(finals, "");
+}
+
+}  // namespace
+}  // namespace heronvane::testing
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -128,6 +128,8 @@
     }
   }
   std::size_t kept() const { return dispatcher_.kept(); }
+  std::size_t avoided() const { return dispatcher_.avoided(); }
+  std::string learnt() const { return dispatcher_.learnt(); }
   int sends_of(MessageId id) const {
     return static_cast<int>(
         std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -844,7 +844,8 @@
   for (int i = 0; i < 40; i++)
     wait_for([&] { return hand_in("n" + std::to_string(i), kSafe, body) == 202u; }, "there is room again");
   std::uintmax_t bytes = 0;
-  for (const auto& f : std::filesystem::directory_iterator(folder + "/state")) bytes += f.file_size();
+  for (const auto& f : std::filesystem::directory_iterator(folder + "/state"))
+    if (f.is_regular_file()) bytes += f.file_size();
   EXPECT_LE(bytes, 1'000'000u);
 }
 
