Spread a fleet's calls for the list over time

Cause, seen in the connects and answers of 48 relays: 28 watches lost at once, and 37 relays started together, asked within 0.1 s; one in 0.115 s was answered, the others turned away after 2 s, and their next waves met the same.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -80,6 +80,8 @@
 // List and buffer.
 constexpr double kLeastLeft = 0.05;  // of the shortest aim: with less time left, nothing is sent any more
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
+constexpr double kAskApart =
+    0.1;  // seconds between the calls for the list of all relays together, where many
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
 // ---- What has been learnt, as text: a line of fields each, in the order in which each() names them. ----
@@ -156,7 +158,8 @@
   std::size_t kind = 0;
   template <class F>
   void each(F&& f) {
-    f(delay), f(delay_at), f(pace), f(tokens), f(tokens_at), f(cut_at), f(raise_at), f(wait_until), served.each(f);
+    f(delay), f(delay_at), f(pace), f(tokens), f(tokens_at), f(cut_at), f(raise_at), f(wait_until),
+        served.each(f);
     f(refusals), f(let_through), f(let_at), f(told_at), f(hold_until), f(refused_from);
   }
   double let_through = 1;  // share of attempts let through after refusals that this relay or others met
@@ -186,9 +189,9 @@
   Time used_at = -kNever;               // last time a call began or ended
   Health health = Health::open;
   bool suspended = false;  // by operators
-  double usual_rate = 0;  // served calls a second before the trouble
-  Time since = 0;         // of the present health
-  double budget = 0;      // calls allowed while closed or in the ramp
+  double usual_rate = 0;   // served calls a second before the trouble
+  Time since = 0;          // of the present health
+  double budget = 0;       // calls allowed while closed or in the ramp
   Time budget_at = 0, next_trial = 0;
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
   Time capped_at = 0;
@@ -233,7 +236,7 @@
   Time rest_until = 0;
 };
 
-struct Overall {  // learnt of no endpoint in particular
+struct Overall {                      // learnt of no endpoint in particular
   std::vector<double> after_refusal;  // by kind: share of calls served that come after a refusal there
   double stray_share = 0;             // of calls that fail at endpoints which serve on
   double slowness = 1;                // recent latencies of all serves, in usual ones
@@ -265,9 +268,9 @@
   Time tell_at = 0, timer_at = kNever, ask_at = kNever, wake = kNever;
   bool subscribed = false;
   double ask_gap = kAskAgain;
-  std::set<EndpointId> suspended;  // by operators, listed or not
+  std::set<EndpointId> suspended;                     // by operators, listed or not
   std::map<std::uint64_t, std::uint64_t> taken_over;  // calls of an earlier life, and their numbers here
-  std::set<EndpointId> ended_at;  // endpoints at which a call ended in this round
+  std::set<EndpointId> ended_at;                      // endpoints at which a call ended in this round
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
     shortest_aim = seconds(set.classes[0].aim);
@@ -308,10 +311,11 @@
   // ---- The pace: unbounded, set at the first refusal, cut on further ones, raised while served. ----
   // A relay that calls seldom has no served rate to go by: it may make one call a D, rarer with each refusal
   // in a row, the more so where such calls were mostly refused again (refused calls use up some limits).
-  // Few relays need not go below one call in the longest D. Guards against a pace that a burst of refusals cuts to
-  // one call in hours, from which no serve ever raises it.
+  // Few relays need not go below one call in the longest D. Guards against a pace that a burst of refusals
+  // cuts to one call in hours, from which no serve ever raises it.
   double least_pace(const Target& t) const {
-    const double least = std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
+    const double least =
+        std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
     return set.relays > kFewRelays ? least : std::max(least, 1 / (kMost * unit));
   }
   void learn_refusal(const Target& t, double served) {
@@ -470,9 +474,9 @@
   int signs_needed(EndpointState& e) const {
     return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), 1, kCloseRun);
   }
-  // Where calls fail now and then, everywhere or at this endpoint, a run of failures must be longer to tell an
-  // outage. Guards against closing sound endpoints one after the other on a day of stray resets, and for good
-  // the few that they strike. 1: no strays to speak of.
+  // Where calls fail now and then, everywhere or at this endpoint, a run of failures must be longer to tell
+  // an outage. Guards against closing sound endpoints one after the other on a day of stray resets, and for
+  // good the few that they strike. 1: no strays to speak of.
   double strays_at(const EndpointState& e) const { return std::max(stray_share, e.stray_share); }
   int run_beyond_chance(const EndpointState& e) const {
     const double share = strays_at(e);
@@ -563,7 +567,7 @@
     if (!ev.cached)
       subscribed = true, ask_gap = kAskAgain, ask_at = kNever;
     else if (set.subscribe)
-      ask_at = now;
+      ask_at = now + micros(uniform() * ask_spread());
   }
   void on(const event::ListChanges& ev) {
     for (const auto& info : ev.endpoints) take(info);
@@ -583,10 +587,16 @@
     log("cold " + ev.endpoint);
   }
   void on(const event::ListFailed&) {
+    // Lost by all relays at once, it is asked for again by one after the other; the longer it turns callers
+    // away, the rarer. What is known serves meanwhile.
+    const double spread = ask_spread(), least = subscribed ? 0 : spread / 2;
     subscribed = false;
-    ask_at = now + micros(jittered(ask_gap));
-    ask_gap = std::min(2 * ask_gap, kAskAgainMost);
+    ask_at = now + micros(std::max(jittered(ask_gap), least + uniform() * spread));
+    ask_gap = std::min(2 * ask_gap, std::max(kAskAgainMost, spread));
   }
+  // Guards against a discovery that the calls of many relays, started or cut off together, keep from
+  // answering any.
+  double ask_spread() const { return set.relays > kFewRelays ? kAskApart * set.relays : 0; }
   void ask() {
     if (now < ask_at) return wake_by(ask_at);
     ask_at = kNever;  // one answer or one failure comes
@@ -797,8 +807,8 @@
     return t;
   }
 
-  // When told waits end so late that no endpoint of its destination may be sent the message any more: that time;
-  // else kNever. Guards against holding what is lost until its deadline, its client none the wiser.
+  // When told waits end so late that no endpoint of its destination may be sent the message any more: that
+  // time; else kNever. Guards against holding what is lost until its deadline, its client none the wiser.
   Time barred_until(const Message& m) {
     const auto destination = destinations.find(m.destination);
     Time first = kNever;
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -617,6 +617,32 @@
   for (int i = 0; i < 3; i++) EXPECT_EQ(r.sends_of(r.arrive(kSafe)), 1);
 }
 
+// A fleet that starts together, or is cut off together, does not ask all at once: what is known serves meanwhile.
+TEST(List, ManyRelaysAskOneAfterTheOther) {
+  Settings set = plain();
+  set.relays = 48;
+  set.subscribe = true;
+  std::vector<Time> first, again;
+  for (std::uint64_t seed = 1; seed <= 48; seed++) {
+    Relay r(set, seed);
+    r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+    EXPECT_EQ(r.sends_of(r.arrive(kSafe)), 1);
+    r.run_to(6 * kS);
+    ASSERT_EQ(r.asked.size(), 1u);
+    first.push_back(r.asked[0]);
+    r.list({{.id = "a", .destination = 1}});
+    r.round({event::ListFailed{}});
+    r.run_to(12 * kS);
+    ASSERT_EQ(r.asked.size(), 2u);
+    again.push_back(r.asked[1]);
+  }
+  for (auto* asked : {&first, &again}) {
+    std::sort(asked->begin(), asked->end());
+    for (std::size_t i = 20; i < asked->size(); i++)  // at most 20 in any second
+      EXPECT_GT((*asked)[i] - (*asked)[i - 20], kS);
+  }
+}
+
 TEST(List, IsAskedForAgainWithBackoff) {
   auto s = plain();
   s.subscribe = true;
