Number messages on from where the other process stood

A call that is out may carry the number of a message that is over by now; a new message with that number would have taken its end for its own.

--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -56,7 +56,7 @@
 
 std::string state_part(const Estate& e) {
   Packer p = part(kState);
-  p.number(e.list.index).number(e.list_told).number(e.paused).text(e.learnt);
+  p.number(e.list.index).number(e.list_told).number(e.paused).number(e.next_number).text(e.learnt);
   p.number(static_cast<std::uint32_t>(e.list.members.size()));
   for (const auto& m : e.list.members) {
     const auto& x = m.endpoint;
@@ -75,7 +75,7 @@
 void read_state(Unpacker& in, Estate& e) {
   e.list.snapshot = true;
   e.list.index = in.number<std::int64_t>(), e.list_told = in.number<bool>(), e.paused = in.number<bool>();
-  e.learnt = in.text();
+  e.next_number = in.number<MessageId>(), e.learnt = in.text();
   for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
     Member m;
     auto& x = m.endpoint;
--- a/relay/handover.hpp
+++ b/relay/handover.hpp
@@ -57,7 +57,8 @@
 struct Estate {
   MemberList list;  // with its version
   bool list_told = false, paused = false;
-  std::string learnt;  // by the module
+  MessageId next_number = 1;  // calls out may still carry an earlier one, though its message is over
+  std::string learnt;         // by the module
   std::vector<std::string> ever_listed;
   std::vector<std::int64_t> destinations;
   std::vector<std::pair<Time, std::string>> recent;  // ids of messages that are over
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -141,7 +141,7 @@
     for (const auto& m : calls[i].messages) out[m.id] = {calls[i].endpoint, i, m.attempt, calls[i].sent};
   std::vector<MessageId> unknown;
   for (const auto& [id, held] : journal_.held()) {
-    next_number_ = id + 1;
+    next_number_ = std::max(next_number_, id + 1);
     numbers_[held.message.id] = id;
     if (held.ending) {
       platform_.notice(id, held.message.id, *held.ending);
@@ -171,7 +171,7 @@
 
 // What is not in the journal of what another process handed over.
 void Relay::take_over(const Estate& estate) {
-  list_told_ = estate.list_told, paused_ = estate.paused;
+  list_told_ = estate.list_told, paused_ = estate.paused, next_number_ = estate.next_number;
   destinations_.insert(estate.destinations.begin(), estate.destinations.end());
   ever_listed_.insert(estate.ever_listed.begin(), estate.ever_listed.end());
   recent_.restore(estate.recent);
@@ -558,7 +558,7 @@
   e.list.index = platform_.index();
   for (const auto& [id, endpoint] : endpoints_)
     if (const auto address = calls_.located(id)) e.list.members.push_back({endpoint, *address});
-  e.list_told = list_told_, e.paused = paused_;
+  e.list_told = list_told_, e.paused = paused_, e.next_number = next_number_;
   e.learnt = dispatcher_.learnt();
   e.ever_listed.assign(ever_listed_.begin(), ever_listed_.end());
   e.destinations.assign(destinations_.begin(), destinations_.end());
@@ -566,8 +566,9 @@
   e.calls = calls_.open_calls();
   e.clients = intake_->open_clients();
   e.listener = intake_->listener();
-  // For an instant both processes hold each descriptor. Of connections that would be too many those go that were
-  // used and have been idle longest; a first request that may be on its way would be turned back unheard.
+  // For an instant both processes hold each descriptor. Of connections that would be too many those go that
+  // were used and have been idle longest; a first request that may be on its way would be turned back
+  // unheard.
   std::sort(e.clients.begin(), e.clients.end(), [](const OpenClient& a, const OpenClient& b) {
     return a.used != b.used ? b.used : a.since > b.since;
   });
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -8,6 +8,7 @@
 #include <sys/un.h>
 
 #include <set>
+#include <thread>
 
 #include "relay_harness.hpp"
 
@@ -65,6 +66,92 @@
   pid_t first = -1;
 };
 
+// All that is handed over comes as it was, with descriptors of the other process's own.
+TEST(Handover, AnEstateComesAsItWas) {
+  const auto base = std::filesystem::temp_directory_path() / ("handover-test-" + std::to_string(::getpid()));
+  std::filesystem::create_directories(base);
+  Descriptor lock(::open((base / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  ASSERT_EQ(::flock(lock.get(), LOCK_EX | LOCK_NB), 0);
+  int pair[2];
+  ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
+  const Descriptor near(pair[0]), far(pair[1]);
+
+  Estate given;
+  given.list.index = 41, given.list_told = given.paused = true, given.next_number = 1234;
+  Member m;
+  m.endpoint.id = "s-1", m.endpoint.destination = 7, m.endpoint.zone = 1, m.endpoint.kind = 2;
+  m.endpoint.listing = cedarplank::Listing::draining, m.endpoint.weight = 2.5, m.endpoint.since = -9;
+  m.address = read_address("127.0.0.1:8081", "");
+  given.list.members = {m};
+  given.learnt = std::string(200'000, 'x') + "\n";
+  given.ever_listed = {"s-0", "s-1"}, given.destinations = {7, -8}, given.recent = {{55, "m5"}, {66, "m6"}};
+  given.listener = near.get();
+  given.clients = {{near.get(), true, 77}, {near.get(), false, 78}};
+  OpenCall call;
+  call.socket = near.get(), call.endpoint = "s-1", call.address = m.address;
+  call.sent = 11, call.answer_due = 12, call.seen = std::string("HTTP\0", 5);
+  call.messages = {{900, 3, 44, "m900", ""}, {901, 0, 45, "m901", ""}};
+  call.given_up = {std::nullopt, Outcome::cancelled};
+  given.calls = {call};
+
+  Possession got;
+  {
+    net::io_context io;
+    bool over = false;
+    Successors successors(io, base.string(), [&](Channel channel) {
+      EXPECT_TRUE(hand_over(channel, given, lock.get()));
+      over = true;
+    });
+    std::thread other([&] { got = take_possession(base.string()); });
+    while (!over) io.run_one();
+    other.join();
+  }
+  EXPECT_TRUE(static_cast<bool>(got.lock));
+  ASSERT_TRUE(got.estate);
+  const Estate& e = *got.estate;
+  EXPECT_EQ(e.list.index, 41);
+  EXPECT_TRUE(e.list_told && e.paused);
+  EXPECT_EQ(e.next_number, 1234u);
+  ASSERT_EQ(e.list.members.size(), 1u);
+  const auto& x = e.list.members[0].endpoint;
+  EXPECT_EQ(x.id, "s-1");
+  EXPECT_EQ(x.destination, 7);
+  EXPECT_EQ(x.zone, 1);
+  EXPECT_EQ(x.kind, 2);
+  EXPECT_EQ(x.listing, cedarplank::Listing::draining);
+  EXPECT_EQ(x.weight, 2.5);
+  EXPECT_EQ(x.since, -9);
+  EXPECT_EQ(e.list.members[0].address, m.address);
+  EXPECT_EQ(e.learnt, given.learnt);
+  EXPECT_EQ(e.ever_listed, given.ever_listed);
+  EXPECT_EQ(e.destinations, given.destinations);
+  EXPECT_EQ(e.recent, given.recent);
+  ASSERT_EQ(e.clients.size(), 2u);
+  EXPECT_TRUE(e.clients[0].used && !e.clients[1].used);
+  EXPECT_EQ(e.clients[1].since, 78);
+  ASSERT_EQ(e.calls.size(), 1u);
+  EXPECT_EQ(e.calls[0].endpoint, "s-1");
+  EXPECT_EQ(e.calls[0].address, m.address);
+  EXPECT_EQ(e.calls[0].sent, 11);
+  EXPECT_EQ(e.calls[0].answer_due, 12);
+  EXPECT_EQ(e.calls[0].seen, call.seen);
+  ASSERT_EQ(e.calls[0].messages.size(), 2u);
+  EXPECT_EQ(e.calls[0].messages[0].id, 900u);
+  EXPECT_EQ(e.calls[0].messages[0].attempt, 3);
+  EXPECT_EQ(e.calls[0].messages[1].timeout, 45);
+  EXPECT_EQ(e.calls[0].messages[1].wire_id, "m901");
+  EXPECT_EQ(e.calls[0].given_up, call.given_up);
+  // Each descriptor is another one of the same socket.
+  std::set<int> all{e.listener, e.clients[0].socket, e.clients[1].socket, e.calls[0].socket, near.get()};
+  EXPECT_EQ(all.size(), 5u);
+  EXPECT_EQ(::write(e.calls[0].socket, "x", 1), 1);
+  char byte = 0;
+  EXPECT_EQ(::read(far.get(), &byte, 1), 1);
+  all.erase(near.get());
+  for (const int fd : all) ::close(fd);
+  std::filesystem::remove_all(base);
+}
+
 // Calls out, clients' connections, the listening socket and what is held change hands; nothing ends, nothing
 // is sent twice.
 TEST_F(HandoverTest, ASecondProcessGoesOnWithAllThatTheFirstHad) {
