--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -636,11 +636,20 @@
     m.sends = ev.attempts;
     m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
     if (ev.out) return take_over(m, *ev.out);
+    if (m.sends > 0) m.ready = now + micros(jittered(least_delay(m)));
     const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
-    if (!barred && m.sends < set.attempts_max && now < latest_send(m)) return;
+    if (!barred && m.sends < set.attempts_max && m.ready < latest_send(m)) return;
     finish(m, false);
     forget(messages.find(m.id));
   }
+  // The least D at its destination: 0 where nothing is known of a failure there.
+  double least_delay(const Message& m) {
+    const auto destination = destinations.find(m.destination);
+    double least = kUnbounded;
+    if (destination != destinations.end())
+      for (auto* e : destination->second.endpoints) least = std::min(least, delay_now(target_of(*e)));
+    return least < kUnbounded ? least : 0;
+  }
   // A call that is still out holds its slot and its message, and tells what becomes of the endpoint.
   void take_over(Message& m, const event::CallOut& o) {
     if (endpoints.count(o.endpoint) == 0)
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -790,6 +790,20 @@
   r.round({recovered(1, kSafe, 1, true)});
   EXPECT_EQ(r.sends_of(1), 1);
 }
+// A retry waits the jittered D also where another life made the first try; a first try does not.
+TEST(Recovery, ARetryWaitsTheDelayThatWasLearnt) {
+  Relay first;
+  first.list({{.id = "a", .destination = 1}});
+  first.end(first.arrive(kSafe), Outcome::error);
+  Relay next;
+  next.now = first.now;
+  next.list({{.id = "a", .destination = 1}});
+  next.round({event::Recalled{first.learnt()}, recovered(900, kSafe, 1, true), recovered(901, kSafe, 0, false)});
+  EXPECT_EQ(next.sends_of(900), 0);
+  EXPECT_EQ(next.sends_of(901), 1);
+  next.run_to(next.now + 1 * kS);
+  EXPECT_EQ(next.sends_of(900), 1);
+}
 TEST(Recovery, AttemptsMadeCountToTheLimit) {
   Relay r;
   r.list({{.id = "a", .destination = 1}});
