Serve the newest process that asks to take over

One that asked and left while the owner waited for a quiet instant shut out the next one until then; it had to ask again. Found by the test of askers that leave, under sanitizers (1 run in 3); 10 repeats of all handover and operators' tests held since.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -120,8 +120,10 @@
     possession_.estate.reset();
   }
   successors_.emplace(io, config.state_folder, [this](Channel channel) {
-    if (successor_) return;
+    // The newest is served: one that asked before may have left since, and asks again if it has not.
+    const bool waiting = successor_.has_value();
     successor_ = std::move(channel);
+    if (waiting) return;
     asked_at_ = steady_now();
     hand_over();
   });
