Pace by shares of the told limit where relays are many

At fault: pace_cut and pace_raise. A relay with a call in seconds has no served rate, so the cut set a pace of one call in a long D, let() then held for the longest D, and the raise added kPaceStep a second at each relay, which is 17 calls a second for a fleet. Slots, health and told waits: no endpoint was closed and none told a wait on these stretches.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -41,6 +41,11 @@
 constexpr double kTellGap = 0.03;  // seconds between notes of all relays together: they cost by the receiver
 constexpr int kFewRelays = 8;      // up to which the signs that each relay needs by itself are not too many
 constexpr double kBurst = 0.3;     // seconds of pace that may be saved up
+// Pace by shares of a limit that was told, one for each relay of many. Times such a share:
+constexpr double kShareCut = 0.5, kLeastShare = 0.3;   // factor on a refusal, and the least
+constexpr double kSafeShare = 0.8, kShareGrowth = 0.25;  // with which the limit fills again; growth to it a second
+constexpr double kPlenty = 0.5, kShareRaise = 0.2;  // on a serve that tells of this part of the limit left
+constexpr double kMostShare = 4;                    // above it the pace is unbounded again
 // Health.
 constexpr int kCloseRun = 3;             // bad signs without a serve that close an endpoint
 constexpr int kShutRun = 4;              // refusals without a serve that mean shut, not limited,
@@ -85,7 +90,7 @@
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
 // ---- What has been learnt, as text: a line of fields each, in the order in which each() names them. ----
-const std::string kLearnt = "learnt-1";
+const std::string kLearnt = "learnt-2";
 
 template <class T>
 void write_line(std::ostringstream& out, const std::string& name, T& of) {
@@ -153,6 +158,7 @@
   double tokens = 1;
   Time tokens_at = 0, cut_at = -kNever, raise_at = 0;
   Time wait_until = 0;  // told wait
+  double limit = 0;     // calls a second that it takes of all relays together, as told; 0: not told
   Rate served;
   int refusals = 0;  // since the last serve
   std::size_t kind = 0;
@@ -160,7 +166,7 @@
   void each(F&& f) {
     f(delay), f(delay_at), f(pace), f(tokens), f(tokens_at), f(cut_at), f(raise_at), f(wait_until),
         served.each(f);
-    f(refusals), f(let_through), f(let_at), f(told_at), f(hold_until), f(refused_from);
+    f(refusals), f(let_through), f(let_at), f(told_at), f(hold_until), f(refused_from), f(limit);
   }
   double let_through = 1;  // share of attempts let through after refusals that this relay or others met
   Time let_at = -kNever, told_at = -kNever, hold_until = 0;
@@ -322,8 +328,18 @@
     double& share = after_refusal[t.kind];
     if (t.refusals > 0) share += kAgainGain * (served - share);
   }
+  // This relay's part of a limit that was told: all relays at it together just use the limit. 0: none told,
+  // or few relays, whose own rates tell more.
+  double part_of(const Target& t) const { return set.relays > kFewRelays ? t.limit / set.relays : 0; }
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
+    if (const double part = part_of(t); part > 0) {
+      if (t.pace == kUnbounded) t.tokens = 0;
+      const double from = std::min(t.pace, std::max(part, t.served.at(now)));
+      t.pace = std::max(from * kShareCut, kLeastShare * part);
+      t.cut_at = t.raise_at = t.tokens_at = now;
+      return;
+    }
     const double least = least_pace(t), recent = std::max(t.served.at(now), least);
     if (t.pace == kUnbounded) t.tokens = 0;
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
@@ -339,7 +355,7 @@
   void cut_through(Target& t, const EndpointState& e, bool own) {
     const double cut = std::clamp(2 * after_refusal[t.kind], kThroughCut, 1.0);
     // Where most calls after a refusal are served, waiting D is enough.
-    if (cut >= 1 || now - t.let_at < micros(kCutGap)) return;
+    if (cut >= 1 || now - t.let_at < micros(kCutGap) || part_of(t) > 0) return;
     t.let_through = std::max(kLeastThrough, let_through(t) * cut);
     t.let_at = now;
     const bool tell = own && set.peers && now >= tell_at && now - t.told_at >= micros(shortest_aim);
@@ -352,7 +368,7 @@
     double share = let_through(t);
     // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
-    if (t.refusals >= 2 && set.relays > kFewRelays)
+    if (t.refusals >= 2 && set.relays > kFewRelays && part_of(t) == 0)
       share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
     if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
@@ -363,13 +379,24 @@
     const auto it = endpoints.find(ev.body.substr(kNoteRefused.size()));
     if (it != endpoints.end()) cut_through(target_of(it->second), it->second, false);
   }
-  void pace_raise(Target& t) {
+  // Its own serves teach a relay that calls seldom too slowly that a limit has room again; what the answers
+  // tell of all relays' calls does. Guards against a limit left half unused while messages for it die.
+  void pace_raise(Target& t, const Report& report) {
+    if (const double part = part_of(t); part > 0 && t.pace != kUnbounded) {
+      if (report.limit_left >= kPlenty) t.pace = std::max(t.pace + kShareRaise * part, kSafeShare * part);
+      if (t.pace > kMostShare * part) t.pace = kUnbounded;
+      t.raise_at = now;
+      return;
+    }
     const double dt = std::min(seconds(now - t.raise_at), std::max(1.0, 2 / t.pace));
     if (t.pace != kUnbounded) t.pace += dt * (kPaceRaise * t.pace + kPaceStep / shortest_aim);
     t.raise_at = now;
   }
   Time pace_ready(Target& t) {
     if (t.pace == kUnbounded) return now;
+    // Of a refusal long ago nothing is left but that all relays together stay below the limit.
+    if (const double part = part_of(t); t.pace < kSafeShare * part)
+      t.pace = std::min(kSafeShare * part, t.pace + kShareGrowth * part * seconds(now - t.tokens_at));
     t.tokens = std::min(t.tokens + t.pace * seconds(now - t.tokens_at), std::max(1.0, t.pace * kBurst));
     t.tokens_at = now;
     return t.tokens >= 1 ? now : now + micros((1 - t.tokens) / t.pace) + 1;
@@ -428,7 +455,8 @@
     return e.health == Health::closed ? std::max(ready, e.next_trial) : ready;
   }
 
-  void call_served(EndpointState& e, Time sent, Time latency) {
+  void call_served(EndpointState& e, Time sent, const event::AttemptEnded& ev) {
+    const Time latency = ev.latency;
     Target& t = target_of(e);
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
@@ -439,7 +467,7 @@
     slowness += kSlownessGain * (std::min(seconds(latency) / std::max(e.usual, 1e-3), kMostSlow) - slowness);
     e.usual += kUsualGain * (seconds(latency) - e.usual);
     e.fail_share *= 1 - kFailMemory;
-    delay_down(t), pace_raise(t);
+    delay_down(t), pace_raise(t, ev.report);
     if (e.health == Health::closed) {
       // Closed on overdue calls alone and they came after all: slow, not out, so nothing is cold.
       e.health = e.fail_run == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
@@ -770,6 +798,7 @@
     EndpointState& e = *call.endpoint;
     const Time sent = call.sent;
     Time& wait_until = target_of(e).wait_until;
+    if (ev.report.limit_rate > 0) target_of(e).limit = ev.report.limit_rate;
     if (ev.told_wait > 0) wait_until = std::max(wait_until, now + ev.told_wait);
     m.out.erase(attempt);
     const bool last = --call.left == 0;
@@ -779,7 +808,7 @@
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
       call.judged = true;
       if (ev.outcome == Outcome::served)
-        call_served(e, sent, ev.latency);
+        call_served(e, sent, ev);
       else if (ev.outcome == Outcome::full)
         call_refused(e);
       else
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,102 @@
+// Many dispatchers at one destination: what is harmless at one relay and adds up at a hundred.
+#include <random>
+
+#include "harness.hpp"
+
+namespace cedarplank::testing {
+namespace {
+
+constexpr int kRelays = 100;
+
+Settings of_many() {
+  auto s = plain();
+  s.relays = kRelays;
+  s.weights = WeightKind::rough;
+  return s;
+}
+
+// A plain rate of calls that refused ones use up too: at most so much is saved up or owed.
+class Limit {
+ public:
+  Limit(double rate, double depth) : rate_(rate), depth_(depth), room_(depth) {}
+  bool take(Time now) {
+    refill(now);
+    const bool free = room_ >= 1;
+    room_ = std::max(room_ - 1, -depth_);
+    return free;
+  }
+  // As of a while ago, as the answers tell it.
+  Report report(Time now) {
+    refill(now);
+    if (now - told_at_ >= 400 * kMs) told_ = next_, next_ = std::max(0.0, room_ / depth_), told_at_ = now;
+    Report r;
+    r.limit_left = told_, r.limit_rate = rate_;
+    return r;
+  }
+
+ private:
+  void refill(Time now) {
+    room_ = std::min(depth_, room_ + rate_ * static_cast<double>(now - at_) / kS);
+    at_ = now;
+  }
+  double rate_, depth_, room_, told_ = 1, next_ = 1;
+  Time at_ = 0, told_at_ = 0;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const Settings& settings = of_many()) {
+    for (int i = 0; i < kRelays; i++) {
+      auto s = settings;
+      s.rank = i;
+      relays.emplace_back(s, static_cast<std::uint64_t>(i + 1));
+      relays.back().list({{.id = "a", .destination = 1, .weight = 40}});
+    }
+  }
+  // For `span`, so many messages a second come to any of the relays; `decide` ends calls 100 ms after their send.
+  template <class Decide>
+  void live(Time span, double rate, Decide decide) {
+    for (const Time until = now + span; now < until; now += 10 * kMs) {
+      for (auto& r : relays) {
+        r.run_to(now);
+        for (const auto& s : std::vector<Sent>(r.out))
+          if (now - s.at >= 100 * kMs) decide(r, s);
+      }
+      for (due_ += rate * 0.01; due_ >= 1; due_ -= 1) relays[random_() % kRelays].arrive(kSafe);
+    }
+  }
+  int sends_between(Time from, Time to) const {
+    int n = 0;
+    for (const auto& r : relays) n += r.sends_between(from, to);
+    return n;
+  }
+
+  Time now = 1 * kS;
+  std::vector<Relay> relays;
+
+ private:
+  std::mt19937 random_{7};
+  double due_ = 0;
+};
+
+TEST(Fleet, UsesALimitAgainSoonAfterAClumpThatOverranIt) {
+  Fleet fleet;
+  Limit limit(40, 22);
+  int served = 0, refused = 0;
+  const auto decide = [&](Relay& r, const Sent& s) {
+    const bool taken = limit.take(fleet.now);
+    (taken ? served : refused)++;
+    auto e = std::get<event::AttemptEnded>(r.ending(s.id, taken ? Outcome::served : Outcome::full));
+    e.report = limit.report(fleet.now);
+    r.round({e});
+  };
+  fleet.live(5 * kS, 28, decide);
+  fleet.live(2 * kS, 120, decide);
+  served = refused = 0;
+  fleet.live(10 * kS, 28, decide);
+  EXPECT_GT(served, 10 * 28);  // what came meanwhile, and a part of what the clump left
+  EXPECT_LT(refused, served / 4);
+}
+
+}  // namespace
+}  // namespace cedarplank::testing
