Count the ramp after an outage from the middle of its unseen end

At fault: close() took the asked rate alone as the usual one, so that a relay's trials came 5 to 8 s apart, and call_served() began each relay's ramp at its own first serve, up to that much after the return.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -413,14 +413,20 @@
   void close(EndpointState& e, const char* why) {
     if (e.health == Health::open) {
       // Each relay starts anywhere between two of its trials, else those of many would come together.
-      e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays), e.budget = uniform(),
-      e.budget_at = now;
+      e.usual_rate = usual_rate(e), e.budget = uniform(), e.budget_at = now;
     }
     if (e.health != Health::closed) log("closed " + e.info.id + ": " + why);
     e.health = Health::closed;
     e.since = now;
     e.next_trial = now + trial_gap(e);
   }
+  // Calls a second that this relay may count on as its part of what an endpoint takes when it is sound: what it
+  // asked of it, or its share of a limit that was told, which is less than the capacity.
+  double usual_rate(EndpointState& e) {
+    const auto siblings = static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
+    const double part = part_of(target_of(e)) / std::max(1.0, siblings);
+    return std::max({e.asked.at(now), part, kLeastCalls / set.relays});
+  }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
   }
@@ -471,7 +477,10 @@
     if (e.health == Health::closed) {
       // Closed on overdue calls alone and they came after all: slow, not out, so nothing is cold.
       e.health = e.fail_run == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
-      e.since = e.budget_at = now;
+      // It came back some time since the last failure. Many relays that each take it to be now, one after the
+      // other as their trials fall due, would start their ramps seconds late.
+      e.since = e.health == Health::ramp ? now - (now - e.since) / 2 : now;
+      e.budget_at = now;
       log((e.health == Health::open ? "slow " : "ramp ") + e.info.id);
     }
     for (; e.strays > 0; e.strays--) {
@@ -609,7 +618,7 @@
     EndpointState& e = it->second;
     e.suspended = ev.on;
     if (ev.on) return drop_idle(e);
-    if (e.health == Health::open) e.usual_rate = std::max(e.asked.at(now), kLeastCalls / set.relays);
+    if (e.health == Health::open) e.usual_rate = usual_rate(e);
     e.health = Health::ramp, e.since = e.budget_at = now, e.budget = uniform();
     e.fail_run = 0, e.fail_share = 0;
     log("cold " + ev.endpoint);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -98,5 +98,45 @@
   EXPECT_LT(refused, served / 4);
 }
 
+// Down for 5 s, then cold: of the calls in any 1.5 s no more than twice what it can do, and work again soon.
+TEST(Fleet, ReturnsSoonToAnEndpointThatWasOutAndDoesNotPushItOver) {
+  constexpr double kLimit = 40, kCapacity = 1.2 * kLimit, kColdFrom = 0.19;
+  constexpr Time kOut = 6 * kS, kBack = 11 * kS, kCold = 10 * kS, kWindow = 1500 * kMs;
+  auto settings = of_many();
+  settings.cold_from = kColdFrom, settings.cold = kCold, settings.overload_for = kWindow;
+  Fleet fleet(settings);
+  const auto capacity = [&](Time t) {
+    const double warm = static_cast<double>(t - kBack) / kCold;
+    return kCapacity * std::min(1.0, kColdFrom + (1 - kColdFrom) * warm);
+  };
+  Limit limit(kLimit, 22);
+  std::vector<Time> pushes;
+  double room = 0;
+  Time room_at = kBack;
+  int served = 0;
+  fleet.live(25 * kS, 28, [&](Relay& r, const Sent& s) {
+    const bool out = fleet.now >= kOut && fleet.now < kBack;
+    bool taken = !out;
+    if (fleet.now >= kBack) {
+      pushes.push_back(fleet.now);
+      const double more = capacity(fleet.now) * static_cast<double>(fleet.now - room_at) / kS;
+      room = std::min(capacity(fleet.now) / 2, room + more);
+      room_at = fleet.now;
+      if ((taken = room >= 1)) room -= 1, served++;
+    }
+    auto e = std::get<event::AttemptEnded>(r.ending(
+        s.id, out ? Outcome::connect_failed : taken ? Outcome::served : Outcome::full));
+    if (!out) limit.take(fleet.now), e.report = limit.report(fleet.now);
+    r.round({e});
+  });
+  for (std::size_t i = 0, first = 0; i < pushes.size(); i++) {
+    while (pushes[first] <= pushes[i] - kWindow) first++;
+    EXPECT_LE(static_cast<double>(i - first + 1), 2 * capacity(pushes[i]) * 1.5) << "at " << pushes[i];
+  }
+  double could = 0;
+  for (Time t = kBack; t < fleet.now; t += 100 * kMs) could += std::min(28.0, capacity(t)) / 10;
+  EXPECT_GT(served, 0.85 * could);
+}
+
 }  // namespace
 }  // namespace cedarplank::testing
