Keep idle connections where no connect has failed and another call is likely

The mean gap also began at as many seconds as there are relays, and an endless first gap was learnt.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -42,8 +42,9 @@
 constexpr int kFewRelays = 8;      // up to which the signs that each relay needs by itself are not too many
 constexpr double kBurst = 0.3;     // seconds of pace that may be saved up
 // Pace by shares of a limit that was told, one for each relay of many. Times such a share:
-constexpr double kShareCut = 0.5, kLeastShare = 0.3;   // factor on a refusal, and the least
-constexpr double kSafeShare = 0.8, kShareGrowth = 0.25;  // with which the limit fills again; growth to it a second
+constexpr double kShareCut = 0.5, kLeastShare = 0.3;  // factor on a refusal, and the least
+constexpr double kSafeShare = 0.8,
+                 kShareGrowth = 0.25;               // with which the limit fills again; growth to it a second
 constexpr double kPlenty = 0.5, kShareRaise = 0.2;  // on a serve that tells of this part of the limit left
 constexpr double kMostShare = 4;                    // above it the pace is unbounded again
 // Health.
@@ -81,7 +82,10 @@
 constexpr double kFirstLatency = 0.25;  // assumed before the first answer
 // Connections.
 constexpr double kGapGain = 0.3, kMostGap = 100;  // weight of the newest gap between calls; the longest
-constexpr double kIdleSpared = 8;  // idle connections of all relays that an endpoint is trusted to spare
+constexpr double kIdleSpared =
+    8;  // idle connections of all relays that a crowded endpoint is trusted to spare
+constexpr double kLongGap = 2.5;  // mean gaps, in idle times, over which it is hardly used again
+constexpr double kCrowded = 30;   // seconds for which it is taken to be crowded after a connect that failed
 // List and buffer.
 constexpr double kLeastLeft = 0.05;  // of the shortest aim: with less time left, nothing is sent any more
 constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
@@ -200,14 +204,14 @@
   double budget = 0;       // calls allowed while closed or in the ramp
   Time budget_at = 0, next_trial = 0;
   int call_cap = 0;  // calls out at which connects failed; 0: unknown
-  Time capped_at = 0;
+  Time capped_at = 0, crowded_at = -kNever;
   std::uint64_t open_call = 0;  // call begun in this round, for bundling
   template <class F>
   void each(F&& f) {
     own.each(f), served.each(f), asked.each(f);
     f(bundle), f(latency), f(usual), f(fail_share), f(fail_run), f(strays), f(stray_share), f(served_at);
     f(served_sent), f(doubt_run), f(idle_closed), f(use_gap), f(used_at), f(health), f(usual_rate), f(since);
-    f(budget), f(budget_at), f(next_trial), f(call_cap), f(capped_at);
+    f(budget), f(budget_at), f(next_trial), f(call_cap), f(capped_at), f(crowded_at);
   }
 };
 
@@ -420,10 +424,11 @@
     e.since = now;
     e.next_trial = now + trial_gap(e);
   }
-  // Calls a second that this relay may count on as its part of what an endpoint takes when it is sound: what it
-  // asked of it, or its share of a limit that was told, which is less than the capacity.
+  // Calls a second that this relay may count on as its part of what an endpoint takes when it is sound: what
+  // it asked of it, or its share of a limit that was told, which is less than the capacity.
   double usual_rate(EndpointState& e) {
-    const auto siblings = static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
+    const auto siblings =
+        static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
     const double part = part_of(target_of(e)) / std::max(1.0, siblings);
     return std::max({e.asked.at(now), part, kLeastCalls / set.relays});
   }
@@ -522,6 +527,7 @@
   }
   void call_failed(EndpointState& e, const event::AttemptEnded& ev, int taken) {
     delay_up(target_of(e));
+    if (ev.outcome == Outcome::connect_failed) e.crowded_at = now;
     if (ev.outcome == Outcome::connect_failed && e.fail_run == 0 && !e.calls.empty() && overdue(e) == 0 &&
         e.health == Health::open) {
       // Connects fail while calls are out and answered: its table of connections may be full.
@@ -561,14 +567,15 @@
     out->push_back(action::CloseIdle{e.info.id});
   }
 
-  // Guards against connection tables filled by idle connections of many relays, and against connections
-  // that die unseen: one that will hardly be used again before its end is closed once its call is over.
-  // Costs a handshake where the next call comes sooner than the mean gap tells.
+  // Guards against connection tables filled by idle connections of many relays: one that will hardly be used
+  // again before its end is closed once its call is over, where a connect failed sooner. All are not: where
+  // relays are many, nearly each call would cost a handshake.
   void drop_unused() {
     for (const auto& id : ended_at) {
       EndpointState& e = endpoints.at(id);
-      if (e.use_gap * set.relays > seconds(set.connection_idle) * kIdleSpared)
-        out->push_back(action::CloseIdle{id});
+      const bool crowded = now < e.crowded_at + micros(kCrowded);
+      const double gaps = std::max(kIdleSpared / set.relays, crowded ? 0 : kLongGap);
+      if (e.use_gap > seconds(set.connection_idle) * gaps) out->push_back(action::CloseIdle{id});
     }
     ended_at.clear();
   }
@@ -584,7 +591,7 @@
     e.own.kind = destinations[info.destination].target.kind = place;
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
     if (fresh) e.suspended = suspended.count(info.id) > 0;
-    if (fresh) e.bundle = e.bundle_max, e.use_gap = set.relays, e.asked.start(now);
+    if (fresh) e.bundle = e.bundle_max, e.use_gap = seconds(set.connection_idle) / 2, e.asked.start(now);
     if (!fresh) return;
     auto& siblings = destinations[info.destination].endpoints;
     // A new endpoint of a destination that is out or returning is no way around its siblings' state.
@@ -947,7 +954,8 @@
       calls[e.open_call] = Call{&e, now, 0, 0, false};
       e.calls.insert(e.open_call);
       if (e.health == Health::open && m.sends == 0) e.asked.add(now);
-      e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
+      if (e.used_at > -kNever)
+        e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
       e.used_at = now;
       if (t.pace != kUnbounded) t.tokens -= 1;
       if (e.health != Health::open) e.budget -= 1;
