Begin with a pace by the list's weight where relays are many

At fault: a pace that is unbounded until this relay's own first refusal, which comes once for each of a hundred relays.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -45,6 +45,7 @@
 constexpr double kShareCut = 0.5, kLeastShare = 0.3;  // factor on a refusal, and the least
 constexpr double kSafeShare = 0.8,
                  kShareGrowth = 0.25;               // with which the limit fills again; growth to it a second
+constexpr double kFirstShare = 1;                   // before the first answer
 constexpr double kPlenty = 0.5, kShareRaise = 0.2;  // on a serve that tells of this part of the limit left
 constexpr double kMostShare = 4;                    // above it the pace is unbounded again
 // Health.
@@ -335,6 +336,16 @@
   // This relay's part of a limit that was told: all relays at it together just use the limit. 0: none told,
   // or few relays, whose own rates tell more.
   double part_of(const Target& t) const { return set.relays > kFewRelays ? t.limit / set.relays : 0; }
+  // Until its answers tell the limit, the list's weight stands for it. Guards against a release: the relays
+  // that were killed together know nothing, and all that comes to them again would go to the endpoints at
+  // once.
+  void begin_paced(Target& t, double weight) {
+    if (t.limit > 0 || set.weights == WeightKind::none) return;
+    t.limit = weight;
+    if (part_of(t) == 0) return;
+    t.pace = kFirstShare * part_of(t);
+    t.tokens = uniform(), t.tokens_at = t.raise_at = now;
+  }
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
     if (const double part = part_of(t); part > 0) {
@@ -590,6 +601,7 @@
     const KindSettings kind = place < set.kinds.size() ? set.kinds[place] : KindSettings{};
     e.own.kind = destinations[info.destination].target.kind = place;
     e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
+    begin_paced(target_of(e), info.weight);
     if (fresh) e.suspended = suspended.count(info.id) > 0;
     if (fresh) e.bundle = e.bundle_max, e.use_gap = seconds(set.connection_idle) / 2, e.asked.start(now);
     if (!fresh) return;
