Spread the calls after a refusal; save nothing up while a told wait lasts

At fault: pace_cut and pace_ready. Tokens went on growing while a told wait held the relay, so that all came with a whole call at its end; and those refused together, cut alike, came again together one gap of the pace later.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -349,10 +349,12 @@
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
     if (const double part = part_of(t); part > 0) {
-      if (t.pace == kUnbounded) t.tokens = 0;
       const double from = std::min(t.pace, std::max(part, t.served.at(now)));
       t.pace = std::max(from * kShareCut, kLeastShare * part);
-      t.cut_at = t.raise_at = t.tokens_at = now;
+      t.cut_at = t.raise_at = now;
+      // Refused together, told the same wait and paced alike, they would all come again together: nothing is
+      // saved up until the wait is over, and each goes on from anywhere around nothing.
+      t.tokens = uniform() - 0.5, t.tokens_at = std::max(now, t.wait_until);
       return;
     }
     const double least = least_pace(t), recent = std::max(t.served.at(now), least);
@@ -409,6 +411,7 @@
   }
   Time pace_ready(Target& t) {
     if (t.pace == kUnbounded) return now;
+    if (now < t.tokens_at) return t.tokens_at;
     // Of a refusal long ago nothing is left but that all relays together stay below the limit.
     if (const double part = part_of(t); t.pace < kSafeShare * part)
       t.pace = std::min(kSafeShare * part, t.pace + kShareGrowth * part * seconds(now - t.tokens_at));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -152,5 +152,19 @@
   EXPECT_GT(fleet.sends_between(from, fleet.now), kRelays);  // and goes on by the list's weight, 40 a second
 }
 
+// A span ends for all at the same time, as each was told.
+TEST(Fleet, DoesNotComeAgainTogetherAtTheEndOfAToldWait) {
+  Fleet fleet;
+  const Time end = 5 * kS;
+  fleet.live(8 * kS, 60, [&](Relay& r, const Sent& s) {
+    if (fleet.now < end)
+      r.end(s.id, Outcome::full, end - fleet.now);
+    else
+      r.end(s.id, Outcome::served);
+  });
+  EXPECT_LT(fleet.sends_between(end, end + 500 * kMs), 15);
+  EXPECT_GT(fleet.sends_between(end, end + 3 * kS), 30);
+}
+
 }  // namespace
 }  // namespace cedarplank::testing
