Go on without locks, local or peers' sockets where the system refuses them

Checked: the handover socket logged and went on already. flock refused ended the start (take_possession), a peers' socket refused threw out of the constructor (Peers). Each is now one line in the log. Ruled out: a missing operator or known entry, which config.cpp takes as absent. The test refuses both calls to the real program by a filter.

--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -264,6 +264,11 @@
     Descriptor lock(::open(lock_path(folder).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
     if (!lock) fail(lock_path(folder));
     if (::flock(lock.get(), LOCK_EX | LOCK_NB) == 0) return {std::move(lock), std::nullopt};
+    if (errno == ENOSYS || errno == ENOLCK || errno == EOPNOTSUPP || errno == EPERM) {
+      // Where there are no locks, whoever starts is the owner: the platform ends the one before it.
+      log("handover: " + lock_path(folder) + ": " + std::strerror(errno) + "; going on without a lock");
+      return {std::move(lock), std::nullopt};
+    }
     if (errno != EWOULDBLOCK && errno != EINTR) fail(lock_path(folder));
     if (auto taken = ask_owner(folder)) return std::move(*taken);
     if (!told) log("handover: another process owns the folder; asking until it hands over or ends");
--- a/relay/peers.cpp
+++ b/relay/peers.cpp
@@ -24,12 +24,16 @@
       all_(all),
       own_rank_(own_rank),
       heard_(std::move(heard)) {
-  socket_.open(listen.protocol());
+  error_code bad;
+  socket_.open(listen.protocol(), bad);
   // The process that this one took over from may not quite have ended.
-  socket_.set_option(udp::socket::reuse_address(true));
-  socket_.bind(listen);
-  socket_.non_blocking(true);
-  receive();
+  if (!bad) socket_.set_option(udp::socket::reuse_address(true), bad);
+  if (!bad) socket_.bind(listen, bad);
+  if (!bad) socket_.non_blocking(true, bad);
+  if (bad)
+    log("peers: can't listen: " + bad.message() + "; going on without notes");
+  else
+    receive();
 }
 
 void Peers::tell(int whom, const std::string& body) {
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -3,9 +3,12 @@
 #pragma once
 
 #include <gtest/gtest.h>
+#include <linux/filter.h>
+#include <linux/seccomp.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -171,7 +174,8 @@
            R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
            R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"Peers":true,"ConnIdle":5000000,)"
            R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":")" +
-           list_mode + R"(","GroupSize":1,)"
+           list_mode +
+           R"(","GroupSize":1,)"
            R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":5000})";
   }
   std::string member(const std::string& name, const std::string& address, const std::string& status = "ready",
@@ -190,6 +194,21 @@
            R"(","seed":"8c1f30d27a5be964","limits":)" + limits() + R"(,"known":)" + list(members) +
            R"(,"settings":)" + settings() + more + "}";
   }
+  // As a system does that knows neither: in this process and what it becomes.
+  static bool refuse_locks_and_local_sockets() {
+    constexpr auto number = static_cast<__u32>(offsetof(seccomp_data, nr));
+    constexpr auto family = static_cast<__u32>(offsetof(seccomp_data, args));
+    sock_filter rules[] = {BPF_STMT(BPF_LD | BPF_W | BPF_ABS, number),
+                           BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_flock, 3, 0),
+                           BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, SYS_socket, 0, 3),
+                           BPF_STMT(BPF_LD | BPF_W | BPF_ABS, family),
+                           BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, AF_UNIX, 0, 1),
+                           BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ERRNO | ENOSYS),
+                           BPF_STMT(BPF_RET | BPF_K, SECCOMP_RET_ALLOW)};
+    const sock_fprog all{static_cast<unsigned short>(std::size(rules)), rules};
+    return ::prctl(PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0) == 0 &&
+           ::prctl(PR_SET_SECCOMP, SECCOMP_MODE_FILTER, &all) == 0;
+  }
   void spawn(const std::string& text) {
     std::ofstream(folder + "/config.json") << text;
     child = ::fork();
@@ -202,6 +221,7 @@
         ::signal(SIGXFSZ, SIG_IGN);
         ::setrlimit(RLIMIT_FSIZE, &limit);
       }
+      if (refuse_calls && !refuse_locks_and_local_sockets()) ::_exit(125);
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
@@ -316,9 +336,10 @@
   std::uint16_t port = 0;
   int workers = 8;
   std::string list_mode = "subscribe";  // how the settings say that changes of the list come
-  std::string more;  // further members of the configuration
+  std::string more;                     // further members of the configuration
   pid_t child = -1;
-  rlim_t largest_file = 0;  // that the program may write; 0: any
+  rlim_t largest_file = 0;    // that the program may write; 0: any
+  bool refuse_calls = false;  // of the relay: locks on files and local sockets
   unsigned finals_status = 204;
   int refused_finals = 0;
   std::vector<std::shared_ptr<Session>> watches;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -726,6 +726,15 @@
 }
 
 // ---- The configuration. ----
+// One line for each, and the service goes on without it.
+TEST_F(RelayTest, RefusedLocksAndLocalSocketsDoNotKeepItFromStarting) {
+  refuse_calls = true;
+  start();
+  const auto log = logged();
+  EXPECT_NE(log.find("going on without a lock"), std::string::npos) << log;
+  EXPECT_NE(log.find("a next process has to wait"), std::string::npos) << log;
+  EXPECT_EQ(std::count(log.begin(), log.end(), '\n'), 3) << log;  // and that it listens
+}
 TEST_F(RelayTest, ABadConfigurationIsOneLineAndAnExit) {
   members = member("s-1", endpoint.address());
   const auto without = [this](const std::string& text, const std::string& by) {
