Keep bundles large after connects that fail, which lose nothing

At fault: call_failed halved the bundle on every failure; in an outage most are connects that never come up, so each relay returned with calls of one message to a destination that bears a fifth of its calls.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -563,7 +563,8 @@
     // A call's messages share its fate: failing calls take fewer along. Guards against whole bundles lost
     // to a doubtful endpoint, and against one that stumbles over large bundles only. Not where it may be a
     // stray failure: under a limit of calls, small bundles would starve the rest.
-    if (chance == 1 || e.fail_run > 1) e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
+    const bool lost = ev.outcome != Outcome::connect_failed;
+    if (lost && (chance == 1 || e.fail_run > 1)) e.bundle = std::max(1, std::min(e.bundle, taken) / 2);
     const int few = std::max({signs_needed(e), ev.outcome == Outcome::error ? 2 : 1, chance});
     const int run = e.health == Health::open   ? std::max(kCloseRun, chance)
                     : e.health == Health::ramp ? std::max(kCloseRun - 1, chance)
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -195,6 +195,32 @@
   burst();
   EXPECT_LE(r.out.size(), 4u);  // two calls of two
 }
+// Nothing is lost in a connect that fails; small bundles would use up what a destination takes when it
+// returns.
+TEST(Bundles, StayLargeAfterConnectsThatFailed) {
+  auto s = plain();
+  s.kinds[0].bundle_max = 8, s.slots = 1;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1}});
+  std::vector<Event> events;
+  for (MessageId id = 1001; id <= 1008; id++) {
+    event::Arrival a;
+    a.id = id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;
+    events.push_back(a);
+  }
+  r.round(events);
+  std::size_t largest = 0;
+  for (int tries = 0; tries < 7; tries++) {
+    ASSERT_FALSE(r.out.empty());
+    if (tries >= 3) largest = std::max(largest, r.out.size());
+    std::vector<Event> ends;
+    for (const auto& sent : std::vector<Sent>(r.out))
+      ends.push_back(r.ending(sent.id, Outcome::connect_failed));
+    r.round(ends);
+    while (r.out.empty() && r.now < 18 * kS) r.run_to(r.now + 10 * kMs);
+  }
+  EXPECT_GE(largest, 4u);
+}
 TEST(GiveUp, ACallThatLaterOnesOvertookIsCancelled) {
   auto s = plain();
   s.cancelling = true;
