Give up a notice on a silent connection before its message is lost

A notice waited a second for its answer, also on a kept connection that has fallen silent, and a message is lost 300 ms after its time. Line at fault: kPostTime in relay/platform.cpp.

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr std::size_t kMostList = 4 << 20;  // bytes of a list
-constexpr auto kPostTime = std::chrono::seconds(1);
+constexpr std::chrono::microseconds kMostPostTime = std::chrono::seconds(1);
 constexpr auto kFirstBackoff = std::chrono::milliseconds(50), kMostBackoff = std::chrono::milliseconds(1000);
 constexpr unsigned kUnreadable = 400;
 
@@ -67,7 +67,8 @@
       lost_(std::move(lost)),
       noticed_(std::move(noticed)),
       again_(io),
-      backoff_(kFirstBackoff) {}
+      backoff_(kFirstBackoff),
+      post_time_(patience.notice) {}
 Platform::~Platform() = default;
 
 // ---- The list. ----
@@ -231,7 +232,8 @@
   request.set(http::field::host, "discovery.svc");
   request.set(http::field::content_type, "application/x-ndjson");
   request.prepare_payload();
-  post->timer.expires_after(kPostTime);
+  // On a connection that has fallen silent nothing would come any more, while the messages' time runs out.
+  post->timer.expires_after(post_time_);
   post->timer.async_wait([this, post](error_code bad) {
     if (!bad && !post->over) posted(post, "no answer");
   });
@@ -272,7 +274,7 @@
   post->timer.cancel();
   post_.reset();
   if (problem.empty()) {
-    backoff_ = kFirstBackoff;
+    backoff_ = kFirstBackoff, post_time_ = patience_.notice;
     if (post->response.keep_alive()) kept_ = post->socket;
     return told(post->ids);
   }
@@ -291,8 +293,9 @@
   }
   // A notice for a message that is over does no harm, so it goes again; at once where only a kept
   // connection had ended.
+  log("notices: " + problem + (post->fresh ? "" : " on a kept connection"));
   if (!post->fresh) return this->post();
-  log("notices: " + problem);
+  post_time_ = std::min(2 * post_time_, kMostPostTime);
   waiting_ = true;
   again_.expires_after(backoff_);
   backoff_ = std::min(2 * backoff_, kMostBackoff);
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -20,6 +20,7 @@
 struct Patience {
   std::chrono::microseconds answer;  // with a call for the list, until its answer begins
   std::chrono::microseconds silent;  // with an answer that has begun
+  std::chrono::microseconds notice;  // with notices that are sent, at first; doubled while none is answered
 };
 
 class Platform {
@@ -76,6 +77,7 @@
   bool waiting_ = false;
   bool whole_due_ = false;  // since discovery moved
   std::chrono::milliseconds backoff_;
+  std::chrono::microseconds post_time_;
 };
 
 }  // namespace heronvane
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::microseconds kHeartbeat = std::chrono::seconds(2),
                                     kAskedSilent = std::chrono::milliseconds(4500);
 constexpr std::chrono::microseconds kAskedAnswer = std::chrono::seconds(2), kMostGrace = std::chrono::seconds(2);
+// The platform answers a notice at once; a message whose notice is 300 ms late is lost.
+constexpr std::chrono::microseconds kNoticeAnswer = std::chrono::milliseconds(75);
 
 // A process that asks to take over waits so long, in such steps, for an instant at which nothing is under
 // way.
@@ -60,9 +62,9 @@
 // A call for the list that nobody answers is given up, and a watch that has fallen silent taken as broken, so
 // soon that another can still tell of a drain within its grace.
 Patience patience(const cedarplank::Settings& s) {
-  if (!s.pushed) return {kAskedAnswer, kAskedSilent};
-  const auto grace = s.drain_grace > 0 ? span(s.drain_grace) : kMostGrace;
-  return {std::min(grace, kMostGrace) / 4, kHeartbeat + std::min(grace, kMostGrace) / 2};
+  if (!s.pushed) return {kAskedAnswer, kAskedSilent, kNoticeAnswer};
+  const auto grace = s.drain_grace > 0 ? std::min(span(s.drain_grace), kMostGrace) : kMostGrace;
+  return {grace / 4, kHeartbeat + grace / 2, kNoticeAnswer};
 }
 
 Time longest_deadline(const cedarplank::Settings& s) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -45,9 +45,10 @@
 class PlatformTest : public ::testing::Test {
  protected:
   PlatformTest() : agent(io, [this](const Got& g) { asked.push_back(g); }) {}
-  void begin(std::chrono::microseconds answer, std::chrono::microseconds silent) {
+  void begin(std::chrono::microseconds answer, std::chrono::microseconds silent,
+             std::chrono::microseconds notice = kLong) {
     platform.emplace(
-        io, where(agent), names, Patience{answer, silent}, 41,
+        io, where(agent), names, Patience{answer, silent, notice}, 41,
         [this](MemberList list) { lists.push_back(std::move(list)); },
         [this](Loss why) { lost.push_back(why); }, [](const std::vector<MessageId>&) {});
     platform->watch();
@@ -122,6 +123,31 @@
   EXPECT_EQ(lists[0].index, 3);
 }
 
+// A kept connection falls silent just as a notice is written to it: it goes on a new one, long before the second
+// after which its message would be lost. A try counts for nothing where the machine stood still meanwhile.
+TEST_F(PlatformTest, ANoticeOnAConnectionThatFellSilentGoesOnANewOne) {
+  bool in_time = false;
+  for (int tries = 0; tries < 20 && !in_time; tries++) {
+    asked.clear(), lost.clear();
+    agent.on_request([&](const Got& g) {
+      if (g.request.method() == http::verb::post) asked.push_back(g);
+    });
+    begin(std::chrono::milliseconds(800), kLong, kShort);  // the watch that nobody answers tells the time
+    platform->notice(1, "m1", {});
+    wait_for([&] { return asked.size() == 1; }, "the first notice");
+    asked[0].session->answer(204);
+    wait_for([&] { return !platform->notices_owed(); }, "its answer");
+    platform->notice(2, "m2", {});
+    wait_for([&] { return asked.size() == 2; }, "the second on the same connection");
+    EXPECT_EQ(asked[1].session, asked[0].session);
+    wait_for([&] { return asked.size() == 3; }, "the second once more");
+    EXPECT_NE(asked[2].session, asked[0].session);
+    EXPECT_EQ(asked[2].request.body(), asked[1].request.body());
+    in_time = lost.empty();
+  }
+  EXPECT_TRUE(in_time);
+}
+
 // ---- The program. ----
 class OldListTest : public RelayTest {
  protected:
