Pass a message's idempotency key on and keep the order of its subject

Ruled out: the way of asking for the list (the same with pushed lists), the key's group and window (the same without). Lines at fault: read_message reads neither, Relay::arrival sets no order_key, Calls::write sets no key.

After a restart a subject rests as after any attempt in doubt.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -50,7 +50,9 @@
   w.StartArray();
   for (const auto& m : messages) {
     w.StartObject();
-    text("id", m.wire_id), text("body", base64(m.body));
+    text("id", m.wire_id);
+    if (!m.key.empty()) text("key", m.key);
+    text("body", base64(m.body));
     w.EndObject();
   }
   w.EndArray();
@@ -196,6 +198,7 @@
   request.set("X-Deadline", std::to_string(longest) + "u");
   if (single) {
     request.set("X-Request-Id", call->messages[0].wire_id);
+    if (!call->messages[0].key.empty()) request.set("Idempotency-Key", call->messages[0].key);
     request.body() = std::move(call->messages[0].body);
   } else {
     request.set(http::field::content_type, "application/json");
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -33,6 +33,7 @@
   int attempt = 0;
   Time timeout = 0;
   std::string wire_id, body;
+  std::string key = {};
 };
 
 // A call that was written whole and waits for its answer, as one process hands it to the next.
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -18,7 +18,7 @@
 // A file is this line, then frames: length and CRC-32 of the payload (4 bytes each), the payload.
 // Payload: kind (1 byte), message number (8), fields.
 const std::string kMagic = "heronvane journal 1\n";
-enum Kind : char { kTake = 'T', kSent = 'S', kOutcome = 'O', kEnding = 'E', kOver = 'X', kSuspend = 'H' };
+enum Kind : char { kTake = 'T', kSent = 'S', kOutcome = 'O', kEnding = 'E', kOver = 'X', kSuspend = 'H', kKeys = 'K' };
 constexpr MessageId kNoMessage = 0;  // stands in records that are of none
 constexpr std::uint64_t kFrame = 8;
 constexpr std::uint32_t kMostPayload = 1 << 20;
@@ -55,6 +55,14 @@
       .text(m.body)
       .payload();
 }
+// Ahead of the message's own record, whose form earlier builds read: torn between them, it was not taken on.
+std::string keys_record(MessageId id, const Message& m) {
+  return record(kKeys, id).text(m.key).text(m.order_key).payload();
+}
+std::string taking(MessageId id, const Message& m) {
+  const bool keys = !m.key.empty() || !m.order_key.empty();
+  return (keys ? framed(keys_record(id, m)) : "") + framed(take_record(id, m));
+}
 std::string sent_record(MessageId id, const Attempt& a) {
   return record(kSent, id).number(a.sent).number(static_cast<std::int32_t>(a.zone)).payload();
 }
@@ -74,7 +82,7 @@
 
 // All that is known of a message, as records.
 std::string records_of(MessageId id, const Held& h) {
-  std::string all = framed(take_record(id, h.message));
+  std::string all = taking(id, h.message);
   for (std::size_t i = 0; i < h.attempts.size(); i++) {
     all += framed(sent_record(id, h.attempts[i]));
     if (h.attempts[i].outcome) all += framed(outcome_record(id, static_cast<int>(i), *h.attempts[i].outcome));
@@ -130,13 +138,13 @@
   }
   std::size_t good = 0;
   if (all.compare(0, kMagic.size(), kMagic) == 0) {
-    good = kMagic.size();
-    while (all.size() - good >= kFrame) {
+    std::size_t read = good = kMagic.size();
+    while (all.size() - read >= kFrame) {
       std::uint32_t size = 0, sum = 0;
-      std::memcpy(&size, all.data() + good, 4);
-      std::memcpy(&sum, all.data() + good + 4, 4);
-      if (size > kMostPayload || all.size() - good - kFrame < size) break;
-      const std::string payload = all.substr(good + kFrame, size);
+      std::memcpy(&size, all.data() + read, 4);
+      std::memcpy(&sum, all.data() + read + 4, 4);
+      if (size > kMostPayload || all.size() - read - kFrame < size) break;
+      const std::string payload = all.substr(read + kFrame, size);
       boost::crc_32_type crc;
       crc.process_bytes(payload.data(), payload.size());
       if (crc.checksum() != sum) break;
@@ -145,7 +153,8 @@
       } catch (const std::runtime_error&) {
         break;
       }
-      good += kFrame + size;
+      read += kFrame + size;
+      if (keys_of_ == kNoMessage) good = read;  // keys without their message are torn, too
     }
   }
   // A record torn by the end of the process was never acted on: it goes, all before it stands.
@@ -165,10 +174,16 @@
     h.message.message_class = in.text(), h.message.tenant = in.text();
     h.message.destination = in.number<std::int64_t>(), h.message.deadline = in.number<Time>();
     h.message.repeat = in.number<bool>(), h.message.body = in.text();
+    if (keys_of_ == id) h.message.key = std::move(key_), h.message.order_key = std::move(order_key_);
+    keys_of_ = kNoMessage;
     reserved_ += cost(h.message);
     held_.insert_or_assign(id, std::move(h));
     return;
   }
+  if (kind == kKeys) {
+    keys_of_ = id, key_ = in.text(), order_key_ = in.text();
+    return;
+  }
   if (kind == kSuspend) {
     const std::string endpoint = in.text();
     in.number<bool>() ? void(suspended_.insert(endpoint)) : void(suspended_.erase(endpoint));
@@ -201,7 +216,7 @@
   held_.erase(it);
 }
 
-std::uint64_t Journal::cost(const Message& m) { return framed(take_record(0, m)).size() + kLaterRecords; }
+std::uint64_t Journal::cost(const Message& m) { return taking(0, m).size() + kLaterRecords; }
 
 std::uint64_t Journal::bytes() const { return on_disk(size_) + on_disk(next_size_); }
 
@@ -213,13 +228,13 @@
   return bytes() + pending + 2 * more + reserved_ <= limit_ / 100 * kFullShare;
 }
 
-void Journal::add(MessageId id, const std::string& payload) {
-  const std::string frame = framed(payload);
+void Journal::add(MessageId id, const std::string& payload) { add_frames(id, framed(payload)); }
+void Journal::add_frames(MessageId id, const std::string& frame) {
   pending_ += frame;
   if (next_ >= 0 && id <= copied_) next_pending_ += frame;
 }
 void Journal::take(MessageId id, Message message) {
-  add(id, take_record(id, message));
+  add_frames(id, taking(id, message));
   reserved_ += cost(message);
   held_[id].message = std::move(message);
 }
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -27,6 +27,8 @@
   Time deadline = 0;  // wall time
   bool repeat = false;
   std::string body;
+  std::string key;        // that its endpoint knows repeats by, where its class has one
+  std::string order_key;  // of messages that go one after the other
 };
 
 struct Attempt {
@@ -88,6 +90,7 @@
  private:
   void forget(std::map<MessageId, Held>::iterator it);
   void add(MessageId id, const std::string& payload);
+  void add_frames(MessageId id, const std::string& frames);
   bool compact_step();
   void drop_next();
   void recover();
@@ -105,6 +108,8 @@
   std::map<MessageId, Held> held_;
   std::size_t endings_ = 0;  // of these, given up
   std::set<std::string> suspended_;
+  MessageId keys_of_ = 0;  // while reading: whose these are
+  std::string key_, order_key_;
 };
 
 }  // namespace heronvane
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -212,6 +212,7 @@
   a.tenant = cedarplank::adapter::position(config_.names.tenants, m.tenant);
   a.time_left = m.deadline - wall_now();
   a.repeat = m.repeat;
+  a.order_key = m.order_key;
   return a;
 }
 
@@ -385,7 +386,8 @@
       endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
   const auto& kinds = config_.settings.kinds;
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
-  Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body};
+  Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body,
+               h.message.key};
   journal_.sent(a.id, wall_now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
   const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
--- a/relay/request.cpp
+++ b/relay/request.cpp
@@ -69,17 +69,22 @@
   auto path = request.target();
   path = path.substr(0, path.find('?'));
   if (path.starts_with('/')) path.remove_prefix(1);
-  path = path.substr(0, path.find('/'));
+  const auto cut = path.find('/');
+  const auto rest = cut == beast::string_view::npos ? beast::string_view() : path.substr(cut + 1);
+  path = path.substr(0, cut);
   const auto cls = names.classes.find(std::string(path));
   if (cls == names.classes.end()) return refuse(404, "unknown class");
   if (request.method() != http::verb::post) return refuse(405, "unknown method");
-  for (const char* once : {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Consignee"})
+  for (const char* once : {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Consignee", "Idempotency-Key"})
     if (request.count(once) > 1) return refuse(400, "a field stands twice");
   const auto named = request["X-Class"], tenant = request["X-Tenant"];
   if (!named.empty() && named != path) return refuse(400, "two classes");
   if (!usable_id(request["X-Request-Id"])) return refuse(400, "no usable id");
   if (tenant.size() > kMostName || (!names.tenants.empty() && names.tenants.count(std::string(tenant)) == 0))
     return refuse(400, "unknown tenant");
+  const auto key = request["Idempotency-Key"];
+  if (!key.empty() && !usable_id(key)) return refuse(400, "no usable key");
+  if (rest.size() > kMostName) return refuse(400, "no usable order key");
   const auto dest = destination(request["X-Consignee"]);
   if (!dest) return refuse(400, "no usable destination");
   const auto most = kMostDeadlines * settings.classes[static_cast<std::size_t>(cls->second)].deadline;
@@ -90,6 +95,9 @@
   h.message.tenant = std::string(tenant);
   h.message.destination = *dest;
   h.message.deadline = wall_now() + *left;
+  h.message.key = std::string(key);
+  // What a message of a class in order is about stands behind the class in its path.
+  if (settings.classes[static_cast<std::size_t>(cls->second)].ordered) h.message.order_key = std::string(rest);
   h.message.repeat = request["X-Retry"] == "1";
   h.message.body = std::move(request.body());
   return h;
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -720,6 +720,8 @@
     m.sends = ev.attempts;
     m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
     if (ev.out) return take_over(m, *ev.out);
+    // It may be running still: what comes behind it in its order waits as after any attempt in doubt.
+    if (!m.key.empty() && m.may_ran_zone) rest(m.key, m.may_ran_sent + set.settle_after_doubt);
     if (m.sends > 0) m.ready = now + micros(jittered(least_delay(m)));
     const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
     if (!barred && m.sends < set.attempts_max && m.ready < latest_send(m)) return;
@@ -809,6 +811,10 @@
     }
     messages.erase(it);
   }
+  void rest(const std::string& key, Time until) {
+    keys[key].rest_until = std::max(keys[key].rest_until, until);
+    resting.emplace_back(until, key);
+  }
   void drop_key(const std::string& key) {
     const auto it = keys.find(key);
     if (it != keys.end() && it->second.line.empty() && now >= it->second.rest_until) keys.erase(it);
@@ -878,10 +884,7 @@
       m.may_ran_zone = e.info.zone, m.may_ran_sent = sent;
     const bool doubt =
         ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset || ev.outcome == Outcome::cancelled;
-    if (doubt && !m.key.empty()) {
-      keys[m.key].rest_until = now + set.settle_after_doubt;
-      resting.emplace_back(now + set.settle_after_doubt, m.key);
-    }
+    if (doubt && !m.key.empty()) rest(m.key, now + set.settle_after_doubt);
     if (ev.closed || ev.outcome == Outcome::served) m.over = true;
     if (!m.over && m.out.empty()) {
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -102,6 +102,41 @@
   }
 }
 
+// A message comes back with its keys or not at all, cut at any byte and compacted; no later one gets them.
+TEST_F(JournalTest, KeysComeWithTheirMessageOrNotAtAll) {
+  const auto with_keys = [](const std::string& id) {
+    Message m = message(id);
+    m.key = "key-" + id, m.order_key = "about-" + id;
+    return m;
+  };
+  std::string whole;
+  {
+    Journal j(folder, kLimit);
+    j.take(1, message("plain")), j.take(2, with_keys("a"));
+    ASSERT_TRUE(j.commit());
+    while (j.compact()) {
+    }
+    whole = content();
+  }
+  for (std::size_t cut = 0; cut <= whole.size(); cut++) {
+    write(whole.substr(0, cut));
+    {
+      Journal j(folder, kLimit);
+      const auto held = j.held().find(2);
+      ASSERT_EQ(held != j.held().end(), cut == whole.size());
+      if (held == j.held().end()) {
+        j.take(2, message("next"));
+      } else {
+        EXPECT_EQ(held->second.message.order_key, "about-a");
+      }
+      ASSERT_TRUE(j.commit());
+    }
+    const Journal again(folder, kLimit);
+    const Message& m = again.held().at(2).message;
+    EXPECT_EQ(m.key, m.id == "a" ? "key-a" : "") << "cut at " << cut;
+  }
+}
+
 TEST_F(JournalTest, ADamagedRecordEndsWhatIsRead) {
   {
     Journal j(folder, kLimit);
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -167,8 +167,8 @@
   std::string settings() {
     return R"({"Classes":[{"Name":"load-status","Points":1.0,"Target":1000000,"Deadline":6000000,)"
            R"("Idempotency":"read_like"},{"Name":"pay-and-order","Points":3.0,"Target":2000000,)"
-           R"("Deadline":24000000,"Idempotency":"non_idempotent","LateWorth":0.3}],)"
-           R"("FamilyInfo":{"Workers":)" +
+           R"("Deadline":24000000,"Idempotency":"non_idempotent","LateWorth":0.3})" +
+           more_classes + R"(],"FamilyInfo":{"Workers":)" +
            std::to_string(workers) +
            R"(,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
            R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
@@ -338,6 +338,7 @@
   std::uint16_t port = 0;
   int workers = 8, relays = 1;
   std::string list_mode = "subscribe";  // how the settings say that changes of the list come
+  std::string more_classes;             // each behind a comma
   std::string more;                     // further members of the configuration
   pid_t child = -1;
   rlim_t largest_file = 0;    // that the program may write; 0: any
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -203,6 +203,65 @@
   EXPECT_EQ(finals, "{\"id\":\"m3\",\"status\":\"undeliverable\"}\n");
 }
 
+// ---- Classes of other customers. ----
+const std::string kOtherClasses =
+    R"(,{"Name":"stamped","Points":1.0,"Target":1000000,"Deadline":6000000,"Idempotency":"idempotency_key",)"
+    R"("Window":5000000},{"Name":"in-turn","Points":1.0,"Target":1000000,"Deadline":6000000,)"
+    R"("Idempotency":"read_like","FifoByKey":true})";
+std::string with_key(std::string request) {
+  return request.insert(request.find("X-Deadline"), "Idempotency-Key: 0f-key\r\n");
+}
+
+// Its endpoint knows a repeat by the key: one that came without would run twice.
+TEST_F(RelayTest, AnIdempotencyKeyGoesWithItsMessageAcrossARestartAndInBundles) {
+  more_classes = kOtherClasses;
+  members = member("s-1", endpoint.address(), "ready", "big");
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(ask(with_key(request("m1", "stamped"))), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(endpoint.got[0].request["Idempotency-Key"], "0f-key");
+  kill_relay();
+  endpoint.on_request([](const Got& g) { g.session->answer(200, "X-Come-Back-Ms: 1500\r\n"); });
+  start();
+  wait_for([&] { return endpoint.got.size() == 2; }, "the call of the next life");
+  EXPECT_EQ(endpoint.got[1].request["Idempotency-Key"], "0f-key");
+  // The wait that its answer tells holds the next ones, so that they go in one round.
+  EXPECT_EQ(ask(with_key(request("m2", "stamped"))), 202u);
+  EXPECT_EQ(hand_in("m3", kSafe), 202u);
+  wait_for([&] { return endpoint.got.size() == 3; }, "the bundle");
+  EXPECT_EQ(endpoint.got[2].request.target(), "/events/bundle");
+  EXPECT_NE(endpoint.got[2].request.body().find(R"({"id":"m2","key":"0f-key","body":)"), std::string::npos);
+  EXPECT_NE(endpoint.got[2].request.body().find(R"({"id":"m3","body":)"), std::string::npos);
+}
+
+// Messages of one subject go one at a time, in the order in which they were taken on, also by the next life.
+TEST_F(RelayTest, MessagesInOrderGoOneAfterTheOther) {
+  more_classes = kOtherClasses;
+  const auto about = [&](const std::string& id, const std::string& subject) {
+    auto text = request(id, "in-turn");
+    return text.replace(0, text.find(" HTTP"), "POST /in-turn/" + subject);
+  };
+  endpoint.on_request(stay_silent);
+  start();
+  EXPECT_EQ(ask(about("m1", "doc-1")), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "the first call");
+  EXPECT_EQ(ask(about("m2", "doc-1")), 202u);
+  EXPECT_EQ(ask(about("m3", "doc-2")), 202u);
+  wait_for([&] { return endpoint.got.size() == 2; }, "the call of another subject");
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m3") << "m2 came before it and has to wait";
+  kill_relay();
+  endpoint.got.clear();
+  start();
+  wait_for([&] { return endpoint.got.size() == 2; }, "the calls of the next life");
+  std::set<std::string> again;
+  for (const auto& g : endpoint.got) again.insert(std::string(g.request["X-Request-Id"]));
+  EXPECT_EQ(again, (std::set<std::string>{"m1", "m3"}));
+  for (const auto& g : endpoint.got) g.session->answer(200);
+  wait_for([&] { return endpoint.got.size() == 3; }, "the next of its subject");
+  EXPECT_EQ(endpoint.got[2].request["X-Request-Id"], "m2");
+}
+
 TEST_F(RelayTest, GarbageFromAnEndpointIsAReset) {
   int calls = 0;
   endpoint.on_request([&](const Got& g) {
