Give up a bundle when the first of its messages is over: its answer delivers none then

Lines at fault: Calls waits for a bundle as long as for the last of its messages and takes its answer for each.

--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -119,6 +119,12 @@
 }
 
 void Calls::send(const EndpointId& endpoint, std::vector<Outgoing> messages) {
+  // An answer that comes when one of several is over delivers none of them, though it says so.
+  if (messages.size() > 1) {
+    const auto sooner = [](const Outgoing& a, const Outgoing& b) { return a.left < b.left; };
+    const Time left = std::min_element(messages.begin(), messages.end(), sooner)->left;
+    for (auto& m : messages) m.timeout = std::min(m.timeout, left);
+  }
   const auto call = std::make_shared<Call>(io_, endpoint, std::move(messages));
   const bool room = out_.size() < limits_.slots && places_.count(endpoint) > 0;
   if (room) out_.insert(call);
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -2,7 +2,7 @@
 //
 // A connection carries one call at a time; kept ones are used freshest first and closed before the endpoint
 // would. Each message in a call has its own time-out; the call ends with the last of them, and none of them
-// ends before, unless its answer comes.
+// ends before, unless its answer comes. They share one fate: once one of them is over, none is waited for.
 #pragma once
 
 #include <array>
@@ -34,6 +34,7 @@
   Time timeout = 0;
   std::string wire_id, body;
   std::string key = {};
+  Time left = 3'600'000'000;  // until it is over, delivered or not
 };
 
 // A call that was written whole and waits for its answer, as one process hands it to the next.
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -70,6 +70,19 @@
   EXPECT_EQ(ended[1].outcome, Outcome::full);
 }
 
+// The answer to a bundle one of whose messages is over delivers none of them, whatever it says: none may be taken as
+// delivered by it, so none is waited for any longer.
+TEST_F(CallsTest, ABundleIsGivenUpWhenTheFirstOfItsMessagesIsOver) {
+  auto first = message(1, kLong);
+  first.left = kSoon;
+  calls.send("s-1", {message(2, kLong), std::move(first)});
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call");
+  EXPECT_EQ(endpoint.got[0].request["X-Deadline"], std::to_string(kSoon) + "u");
+  wait_for([&] { return endpoint.sessions[0]->ended; }, "its connection is closed");
+  ASSERT_EQ(ended.size(), 2u);
+  for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::timeout);
+}
+
 // Each is told once, with its own outcome, where none is answered.
 TEST_F(CallsTest, ABundleWithoutAnAnswerEndsWithItsLastTimeout) {
   calls.send("s-1", {message(1, kSoon), message(2, 3 * kSoon)});
