--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -199,5 +199,46 @@
   wait_for([&] { return platform.got.size() >= 3; }, "the agent is asked on");
 }
 
+// The configuration moves discovery while the first call for the list is still unanswered: it is asked for at the new
+// address at once, and what the old one says then is not taken.
+TEST_F(OldListTest, AMoveThatCrossesTheFirstCallForTheListIsFollowed) {
+  Server other(io, answer_ok);
+  Server moved(io, [&](const Got& g) {
+    g.session->write(kHead + chunk(list(member("s-2", other.address()))));
+  });
+  platform.on_request(stay_silent);
+  start();
+  wait_for([&] { return !platform.got.empty(); }, "the first call");
+  const auto first = platform.got[0].session;
+  reload(config(moved.address()));
+  wait_for([&] { return logged().find("whole, 1 endpoints") != std::string::npos; }, "the new address's list");
+  first->write(kHead + chunk(list(member("s-1", endpoint.address()))));
+  EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+  wait_for([&] { return !other.got.empty() || !endpoint.got.empty(); }, "the call");
+  EXPECT_TRUE(endpoint.got.empty()) << "the new list does not name it";
+}
+
+// Through an outage the agent takes calls and says nothing. What it has at its return binds at once, so the call that
+// meets it there brings it.
+TEST_F(OldListTest, WhatTheAgentHasAtItsReturnIsAskedForSoon) {
+  Server other(io, answer_ok);
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  platform.on_request(stay_silent);
+  const auto before = platform.got.size();
+  watches[0]->close();
+  wait_for([&] { return platform.got.size() >= before + 3; }, "calls for the list through the outage");
+  EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+  wait_for([&] { return endpoint.got.size() == 1; }, "service by what is known");
+  platform.on_request([&](const Got& g) {
+    g.session->write(kHead + chunk(list(member("s-1", endpoint.address(), "draining") + "," +
+                                        member("s-2", other.address()))));
+  });
+  wait_for([&] { return logged().find("leaving: s-1") != std::string::npos; }, "the list at its return");
+  EXPECT_EQ(hand_in("m2", "load-status"), 202u);
+  wait_for([&] { return !other.got.empty(); }, "the call goes elsewhere");
+  EXPECT_EQ(endpoint.got.size(), 1u);
+}
+
 }  // namespace
 }  // namespace heronvane::testing
