--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::microseconds kHeartbeat = std::chrono::seconds(2),
                                     kAskedSilent = std::chrono::milliseconds(4500);
 constexpr std::chrono::microseconds kAskedAnswer = std::chrono::seconds(2), kMostGrace = std::chrono::seconds(2);
+// The platform answers a notice at once; a message whose notice is 300 ms late is lost.
+constexpr std::chrono::microseconds kNoticeAnswer = std::chrono::milliseconds(75);
 
 // A process that asks to take over waits so long, in such steps, for an instant at which nothing is under
 // way.
@@ -60,9 +62,9 @@
 // A call for the list that nobody answers is given up, and a watch that has fallen silent taken as broken, so
 // soon that another can still tell of a drain within its grace.
 Patience patience(const cedarplank::Settings& s) {
-  if (!s.pushed) return {kAskedAnswer, kAskedSilent};
-  const auto grace = s.drain_grace > 0 ? span(s.drain_grace) : kMostGrace;
-  return {std::min(grace, kMostGrace) / 4, kHeartbeat + std::min(grace, kMostGrace) / 2};
+  if (!s.pushed) return {kAskedAnswer, kAskedSilent, kNoticeAnswer};
+  const auto grace = s.drain_grace > 0 ? std::min(span(s.drain_grace), kMostGrace) : kMostGrace;
+  return {grace / 4, kHeartbeat + grace / 2, kNoticeAnswer};
 }
 
 Time longest_deadline(const cedarplank::Settings& s) {
@@ -210,6 +212,7 @@
   a.tenant = cedarplank::adapter::position(config_.names.tenants, m.tenant);
   a.time_left = m.deadline - wall_now();
   a.repeat = m.repeat;
+  a.order_key = m.order_key;
   return a;
 }
 
@@ -383,7 +386,8 @@
       endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
   const auto& kinds = config_.settings.kinds;
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
-  Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body};
+  Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body,
+               h.message.key};
   journal_.sent(a.id, wall_now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
   const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
