--- /dev/null
+++ b/scale/main.cpp
@@ -0,0 +1,26 @@
+// yarrowwood_scale: what the module and the relay cost, and how a fleet of them fares, against size.
+#include <CLI/CLI.hpp>
+#include <exception>
+#include <iostream>
+
+#include "commands.hpp"
+#include "experiment.hpp"
+
+int main(int argc, char** argv) {
+  namespace scale = yarrowwood::scale;
+  constexpr int kBadInput = 2;
+  CLI::App app{"Scale tests of the relay and its decision module", "yarrowwood_scale"};
+  app.require_subcommand(1);
+  try {
+    app.parse(argc, argv);
+    return 0;
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadInput;
+  } catch (const scale::BadInput& e) {
+    std::cerr << "yarrowwood_scale: " << e.what() << '\n';
+    return kBadInput;
+  } catch (const std::exception& e) {
+    std::cerr << "yarrowwood_scale: " << e.what() << '\n';
+    return 1;
+  }
+}
