Add the hollow fleet: many instances of the module in virtual time

`yarrowwood_scale fleet` plays whole fleets of the real module against modelled destinations: limits by window or rate, reports with their age, refusals with and without a wait, outages and cold returns with their budget, delays by zone, churn of the list, restarts. Nothing hangs on the machine: equal settings and seed give equal results (a digest of all that happened).

--- /dev/null
+++ b/scale/fleet_command.cpp
@@ -0,0 +1,184 @@
+// `fleet`: the experiment file and the arguments, one run for each number of relays and seed.
+#include <algorithm>
+#include <atomic>
+#include <iostream>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include "commands.hpp"
+#include "experiment.hpp"
+#include "fleet.hpp"
+#include "report.hpp"
+
+namespace yarrowwood::scale {
+namespace {
+
+constexpr double kMostTime = 3'600, kMostRate = 1e6;
+constexpr std::int64_t kMostRelays = 10'000, kMostDestinations = 1'000'000;
+
+struct Arguments {
+  std::string experiment, json;
+  std::vector<std::int64_t> relays, seeds;
+  int jobs = 1;
+};
+
+struct Plan {
+  FleetSettings settings;
+  std::vector<std::int64_t> relays{30}, seeds{1};
+};
+
+void read_whole(Experiment& file, const char* key, int& value, std::int64_t least, std::int64_t most) {
+  std::int64_t number = value;
+  file.read(key, number, least, most);
+  value = static_cast<int>(number);
+}
+
+Plan read_plan(const Arguments& given) {
+  Plan plan;
+  FleetSettings& s = plan.settings;
+  Experiment file(given.experiment, "fleet");
+  file.read("relays", plan.relays, 1, kMostRelays);
+  file.read("seeds", plan.seeds, 0, INT64_MAX);
+  read_whole(file, "destinations_per_relay", s.destinations_per_relay, 1, kMostDestinations);
+  read_whole(file, "most_destinations", s.most_destinations, 1, kMostDestinations);
+  read_whole(file, "zones", s.zones, 1, 1'000);
+  read_whole(file, "slots", s.slots, 1, 100'000);
+  read_whole(file, "open_max", s.open_max, 1, 10'000'000);
+  read_whole(file, "attempts_max", s.attempts_max, 1, 1'000);
+  const std::pair<const char*, double*> parts[] = {{"hot_part", &s.hot_part},
+                                                   {"unsafe_part", &s.unsafe_part},
+                                                   {"window_part", &s.window_part},
+                                                   {"refused_count_part", &s.refused_count_part},
+                                                   {"tells_wait_least", &s.tells_wait_least},
+                                                   {"tells_wait_most", &s.tells_wait_most},
+                                                   {"weight_off", &s.weight_off},
+                                                   {"report_noise", &s.report_noise},
+                                                   {"down_part", &s.down_part},
+                                                   {"killed_part", &s.killed_part},
+                                                   {"cold_from", &s.cold_from}};
+  for (const auto& [key, value] : parts) file.read(key, *value, 0, 1);
+  const std::pair<const char*, double*> above_zero[] = {{"length", &s.length},
+                                                        {"aim", &s.aim},
+                                                        {"deadline", &s.deadline},
+                                                        {"unsafe_aim", &s.unsafe_aim},
+                                                        {"unsafe_deadline", &s.unsafe_deadline},
+                                                        {"window_least", &s.window_least},
+                                                        {"window_most", &s.window_most},
+                                                        {"depth_least", &s.depth_least},
+                                                        {"depth_most", &s.depth_most},
+                                                        {"service", &s.service},
+                                                        {"down", &s.down},
+                                                        {"cold", &s.cold},
+                                                        {"overload_for", &s.overload_for},
+                                                        {"fall_multiple", &s.fall_multiple},
+                                                        {"report_period", &s.report_period},
+                                                        {"limit", &s.limit},
+                                                        {"load", &s.load},
+                                                        {"spare_least", &s.spare_least},
+                                                        {"spare_most", &s.spare_most},
+                                                        {"endpoints", &s.endpoints}};
+  constexpr double kLeast = 1e-6;
+  for (const auto& [key, value] : above_zero) file.read(key, *value, kLeast, kMostTime);
+  const std::pair<const char*, double*> from_zero[] = {
+      {"warm_up", &s.warm_up},       {"hot_load", &s.hot_load},
+      {"service_cv", &s.service_cv}, {"report_delay", &s.report_delay},
+      {"same_zone", &s.same_zone},   {"cross_zone", &s.cross_zone},
+      {"list_delay", &s.list_delay}, {"killed_at", &s.killed_at},
+      {"killed_for", &s.killed_for}, {"churn", &s.churn}};
+  for (const auto& [key, value] : from_zero) file.read(key, *value, 0, kMostRate);
+  file.finish();
+  if (!given.relays.empty()) plan.relays = given.relays;
+  if (!given.seeds.empty()) plan.seeds = given.seeds;
+  return plan;
+}
+
+double part(double of, double all) { return all > 0 ? of / all : 0; }
+
+Row row_of(std::int64_t relays, std::int64_t seed, const FleetResult& r, bool alone) {
+  const auto n = [](std::int64_t v) { return static_cast<double>(v); };
+  Row row{{"relays", relays},
+          {"seed", seed},
+          {"destinations", r.destinations},
+          {"messages", r.messages},
+          {"served", part(n(r.served), n(r.messages))},
+          {"in_aim", part(n(r.in_aim), n(r.messages))},
+          {"sound_served", part(n(r.sound_served), n(r.sound_messages))},
+          {"failed", r.failed},
+          {"handed_back", r.handed_back},
+          {"never_tried", r.never_tried},
+          {"of_limit", part(n(r.calls_served), r.limit_calls)},
+          {"refused_a_served", part(n(r.calls_refused), n(r.calls_served))},
+          {"calls_failed", r.calls_failed},
+          {"falls", r.falls},
+          {"told_falls", r.told_falls},
+          {"longest_overrun_s", r.longest_overrun},
+          {"overruns", r.overruns},
+          {"cpu_a_relay", r.processor_seconds_a_relay},
+          {"digest", std::to_string(r.digest)}};
+  // Only a run in the first thread can tell.
+  if (alone) row.emplace_back("bytes_a_relay", r.bytes_a_relay);
+  return row;
+}
+
+// The runs are independent of each other, and each of its thread: their order alone is not kept while they
+// are under way, so the rows are added when all are there.
+void run(const Arguments& given) {
+  const Plan plan = read_plan(given);
+  Report report(given.json);
+  struct Task {
+    std::int64_t relays, seed;
+    FleetResult result;
+    std::string problem;
+  };
+  std::vector<Task> tasks;
+  for (const auto relays : plan.relays)
+    for (const auto seed : plan.seeds) tasks.push_back({relays, seed, {}, {}});
+  std::atomic<std::size_t> next{0}, done{0};
+  std::mutex talking;
+  const auto work = [&] {
+    for (std::size_t i = next++; i < tasks.size(); i = next++) {
+      FleetSettings s = plan.settings;
+      s.relays = static_cast<int>(tasks[i].relays), s.seed = static_cast<std::uint64_t>(tasks[i].seed);
+      try {
+        tasks[i].result = run_fleet(s, [&](double second) {
+          const std::lock_guard lock(talking);
+          progress(std::to_string(done) + " of " + std::to_string(tasks.size()) + " runs; " +
+                   std::to_string(s.relays) + " relays, seed " + std::to_string(s.seed) + ": " +
+                   std::to_string(static_cast<int>(second)) + " s");
+        });
+      } catch (const std::invalid_argument& e) {
+        tasks[i].problem = e.what();
+      }
+      done++;
+    }
+  };
+  std::vector<std::thread> threads;
+  for (int i = 1; i < given.jobs; i++) threads.emplace_back(work);
+  work();
+  for (auto& t : threads) t.join();
+  progress("");
+  for (const auto& t : tasks) {
+    if (!t.problem.empty()) throw BadInput(given.experiment + ": " + t.problem);
+    report.add(row_of(t.relays, t.seed, t.result, given.jobs == 1));
+  }
+  std::cout << report.table();
+}
+
+}  // namespace
+
+void add_fleet(CLI::App& app) {
+  const auto given = std::make_shared<Arguments>();
+  CLI::App* fleet = app.add_subcommand(
+      "fleet", "Many instances of the module in virtual time, against modelled destinations");
+  fleet->add_option("--experiment", given->experiment, "TOML file whose table [fleet] says what is played")
+      ->check(CLI::ExistingFile);
+  fleet->add_option("--json", given->json, "file for the results, a JSON line each");
+  fleet->add_option("--relays", given->relays, "how many relays, in place of the file's")
+      ->check(CLI::Range(std::int64_t{1}, kMostRelays));
+  fleet->add_option("--seeds", given->seeds, "seeds, in place of the file's")->check(CLI::NonNegativeNumber);
+  fleet->add_option("--jobs", given->jobs, "runs side by side")->check(CLI::Range(1, 256));
+  fleet->callback([given] { run(*given); });
+}
+
+}  // namespace yarrowwood::scale
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -12,6 +12,7 @@
   CLI::App app{"Scale tests of the relay and its decision module", "yarrowwood_scale"};
   app.require_subcommand(1);
   try {
+    scale::add_fleet(app);
     app.parse(argc, argv);
     return 0;
   } catch (const CLI::ParseError& e) {
--- /dev/null
+++ b/tests/fleet_scale_test.cpp
@@ -0,0 +1,76 @@
+// The hollow fleet: the same for a seed, and its destinations hold to what they say of themselves.
+#include <gtest/gtest.h>
+
+#include "fleet.hpp"
+
+namespace yarrowwood::scale {
+namespace {
+
+FleetSettings small() {
+  FleetSettings s;
+  s.relays = 3, s.most_destinations = 20;
+  s.length = 40, s.warm_up = 10;
+  return s;
+}
+
+TEST(HollowFleet, IsTheSameForASeedAndAnotherForAnother) {
+  FleetSettings s = small();
+  s.down_part = 0.05, s.churn = 1, s.killed_part = 0.7, s.killed_at = 20;
+  const FleetResult one = run_fleet(s), again = run_fleet(s);
+  EXPECT_EQ(one.digest, again.digest);
+  EXPECT_EQ(one.calls, again.calls);
+  s.seed++;
+  EXPECT_NE(run_fleet(s).digest, one.digest);
+}
+
+TEST(HollowFleet, EndsEachMessageOnce) {
+  FleetSettings s = small();
+  s.load = 1.5, s.down_part = 0.05, s.killed_part = 0.7, s.killed_at = 20;
+  const FleetResult r = run_fleet(s);
+  EXPECT_GT(r.messages, 1'000);
+  EXPECT_LE(r.served + r.failed + r.handed_back, r.messages);  // the rest came late
+  EXPECT_GE(r.served + r.failed + r.handed_back, r.messages * 99 / 100);
+}
+
+// A limit is one: however much is asked for, no more than it is served, and the rest is refused.
+TEST(HollowFleet, ServesNoMoreThanTheLimitsAllow) {
+  FleetSettings s = small();
+  s.load = 3, s.length = 60;
+  for (const double windows : {0.0, 1.0}) {
+    s.window_part = windows;
+    const FleetResult r = run_fleet(s);
+    EXPECT_GT(r.calls_refused, 0);
+    EXPECT_LT(static_cast<double>(r.calls_served), 1.05 * r.limit_calls);
+    EXPECT_GT(static_cast<double>(r.calls_served), 0.7 * r.limit_calls);
+  }
+}
+
+TEST(HollowFleet, TellsMessagesOfSoundDestinationsFromThoseInAnOutage) {
+  FleetSettings s = small();
+  s.down_part = 0.1;
+  const FleetResult r = run_fleet(s);
+  EXPECT_LT(r.sound_messages, r.messages);
+  EXPECT_GT(r.calls_failed, 0);
+  s.down_part = 0;
+  const FleetResult calm = run_fleet(s);
+  EXPECT_EQ(calm.sound_messages, calm.messages);
+}
+
+// A cold destination that takes next to nothing falls under what comes; one that is warm at once does not.
+TEST(HollowFleet, PushesAColdDestinationOver) {
+  FleetSettings s = small();
+  s.relays = 30, s.down_part = 0.1, s.down = 5, s.cold_from = 0.01, s.cold = 30, s.load = 2;
+  s.fall_multiple = 0.5;
+  EXPECT_GT(run_fleet(s).falls, 0);
+  s.cold_from = 1, s.fall_multiple = 4;
+  EXPECT_EQ(run_fleet(s).falls, 0);
+}
+
+TEST(HollowFleet, RefusesSettingsThatMakeNoSense) {
+  FleetSettings s = small();
+  s.warm_up = s.length;
+  EXPECT_THROW(run_fleet(s), std::invalid_argument);
+}
+
+}  // namespace
+}  // namespace yarrowwood::scale
