--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -47,7 +47,7 @@
   double exponential(double mean) { return -mean * std::log1p(-uniform()); }
   std::size_t below(std::size_t n) { return static_cast<std::size_t>(random_() % n); }
   std::uint64_t bits() { return random_(); }
-  double gamma_like(double mean, double cv) {  // log-normal of this mean and variation
+  double log_normal(double mean, double cv) {
     const double sigma2 = std::log1p(cv * cv);
     const double normal = std::sqrt(-2 * std::log1p(-uniform())) * std::cos(2 * M_PI * uniform());
     return mean * std::exp(std::sqrt(sigma2) * normal - sigma2 / 2);
@@ -182,8 +182,9 @@
   Time now_ = 0;
   std::uint64_t order_ = 0, next_call_ = 1;
   MessageId next_message_ = 1;
-  double rate_ = 0;            // messages a second for all destinations
-  std::vector<double> up_to_;  // their sums by destination
+  double rate_ = 0;                  // messages a second for all destinations
+  std::vector<double> up_to_;        // their sums by destination
+  std::vector<double> up_to_relay_;  // and of the relays' parts, of 1
   std::priority_queue<Item, std::vector<Item>, std::greater<>> items_;
   std::vector<Relay> relays_;
   std::vector<int> alive_;
@@ -241,6 +242,9 @@
   }
   result_.destinations = all, result_.endpoints = static_cast<std::int64_t>(servers_.size());
   relays_.resize(static_cast<std::size_t>(set_.relays));
+  double sum = 0;
+  for (int i = 0; i < set_.relays; i++) up_to_relay_.push_back(sum += chance_.log_normal(1, set_.uneven));
+  for (auto& part : up_to_relay_) part /= sum;
   for (int i = 0; i < set_.relays; i++) start(i);
   at(micros(chance_.exponential(1 / rate_)), What::arrival);
   if (set_.down_part > 0) {
@@ -479,7 +483,7 @@
   }
   const double queued = d.backlog / able;
   d.backlog += 1;
-  ends(now_ + back + micros(queued + chance_.gamma_like(set_.service, set_.service_cv)), Outcome::served, 0,
+  ends(now_ + back + micros(queued + chance_.log_normal(set_.service, set_.service_cv)), Outcome::served, 0,
        report(d));
 }
 
@@ -531,7 +535,11 @@
   const Destination& d = destinations_[static_cast<std::size_t>(
       std::min(destination, static_cast<int>(destinations_.size()) - 1))];
   if (alive_.empty()) return;
-  const int relay = alive_[chance_.below(alive_.size())];
+  const auto drawn_relay = std::upper_bound(up_to_relay_.begin(), up_to_relay_.end(), chance_.uniform());
+  auto relay =
+      static_cast<int>(std::min(drawn_relay - up_to_relay_.begin(), std::ptrdiff_t{set_.relays - 1}));
+  // The front deals what a dead one would get to the others.
+  if (!relays_[static_cast<std::size_t>(relay)].up) relay = alive_[chance_.below(alive_.size())];
   Held h;
   h.destination = static_cast<int>(&d - destinations_.data());
   h.message_class = chance_.one_in(set_.unsafe_part);
--- a/scale/fleet.hpp
+++ b/scale/fleet.hpp
@@ -24,6 +24,7 @@
   double limit = 2.84;  // calls a second that a destination takes of all relays
   double load = 0.5;
   double hot_part = 0, hot_load = 0;
+  double uneven = 0;  // variation of what the relays get, in means: 1 gives some several times the mean
   double unsafe_part = 0.23;
   double aim = 1.5, deadline = 8, unsafe_aim = 2, unsafe_deadline = 16;
 
--- a/scale/fleet_command.cpp
+++ b/scale/fleet_command.cpp
@@ -85,7 +85,8 @@
       {"service_cv", &s.service_cv}, {"report_delay", &s.report_delay},
       {"same_zone", &s.same_zone},   {"cross_zone", &s.cross_zone},
       {"list_delay", &s.list_delay}, {"killed_at", &s.killed_at},
-      {"killed_for", &s.killed_for}, {"churn", &s.churn}};
+      {"killed_for", &s.killed_for}, {"churn", &s.churn},
+      {"uneven", &s.uneven}};
   for (const auto& [key, value] : from_zero) file.read(key, *value, 0, kMostRate);
   file.finish();
   if (!given.relays.empty()) plan.relays = given.relays;
