--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -4,11 +4,15 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/crc.hpp>
 #include <cerrno>
 #include <cstring>
+#include <optional>
 #include <stdexcept>
+#include <string_view>
 #include <system_error>
+#include <utility>
 
 #include "packing.hpp"
 
@@ -27,6 +31,7 @@
 // Shares of the limit: what may be held, when to compact, and what is never touched by new messages.
 constexpr std::uint64_t kHeldShare = 40, kCompactShare = 50, kFullShare = 97;
 constexpr std::size_t kStepBytes = 128 * 1024;  // copied in one step, and one message more
+constexpr std::size_t kReadBytes = 128 * 1024;  // read at once, or one record if that is longer
 
 [[noreturn]] void fail(const std::string& what) {
   throw std::system_error(errno, std::generic_category(), what);
@@ -100,6 +105,39 @@
   return file;
 }
 
+// A file from its start, a piece at a time: all of it may be more than the memory.
+class FileReader {
+ public:
+  FileReader(int file, const std::string& path) : file_(file), path_(path) {}
+  // The next so many bytes, good until the next call; none where the file holds fewer.
+  std::optional<std::string_view> next(std::size_t size) {
+    if (buffer_.size() - at_ < size) fill(size);
+    if (buffer_.size() - at_ < size) return std::nullopt;
+    return std::string_view(buffer_).substr(std::exchange(at_, at_ + size), size);
+  }
+
+ private:
+  void fill(std::size_t size) {
+    buffer_.erase(0, std::exchange(at_, 0));
+    std::size_t got = buffer_.size();
+    buffer_.resize(std::max(size, kReadBytes));
+    while (got < size) {
+      const auto n = ::pread(file_, buffer_.data() + got, buffer_.size() - got, static_cast<off_t>(read_));
+      if (n < 0 && errno == EINTR) continue;
+      if (n < 0) fail("journal: " + path_);
+      if (n == 0) break;
+      got += static_cast<std::size_t>(n), read_ += n;
+    }
+    buffer_.resize(got);
+  }
+
+  int file_;
+  const std::string& path_;
+  std::string buffer_;
+  std::size_t at_ = 0;  // up to here it has been handed out
+  off_t read_ = 0;      // from the file
+};
+
 }  // namespace
 
 bool Attempt::may_have_run() const {
@@ -128,28 +166,22 @@
 void Journal::recover() {
   struct stat info {};
   if (::fstat(file_, &info) != 0) fail("journal: " + path_);
-  std::string all(static_cast<std::size_t>(info.st_size), '\0');
-  for (std::size_t got = 0; got < all.size();) {
-    const auto n = ::pread(file_, all.data() + got, all.size() - got, static_cast<off_t>(got));
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) fail("journal: " + path_);
-    if (n == 0) all.resize(got);
-    got += static_cast<std::size_t>(n);
-  }
-  std::size_t good = 0;
-  if (all.compare(0, kMagic.size(), kMagic) == 0) {
-    std::size_t read = good = kMagic.size();
-    while (all.size() - read >= kFrame) {
+  FileReader in(file_, path_);
+  std::uint64_t good = 0;
+  if (in.next(kMagic.size()) == kMagic) {
+    std::uint64_t read = good = kMagic.size();
+    while (const auto head = in.next(kFrame)) {
       std::uint32_t size = 0, sum = 0;
-      std::memcpy(&size, all.data() + read, 4);
-      std::memcpy(&sum, all.data() + read + 4, 4);
-      if (size > kMostPayload || all.size() - read - kFrame < size) break;
-      const std::string payload = all.substr(read + kFrame, size);
+      std::memcpy(&size, head->data(), 4);
+      std::memcpy(&sum, head->data() + 4, 4);
+      if (size > kMostPayload) break;
+      const auto payload = in.next(size);
+      if (!payload) break;
       boost::crc_32_type crc;
-      crc.process_bytes(payload.data(), payload.size());
+      crc.process_bytes(payload->data(), payload->size());
       if (crc.checksum() != sum) break;
       try {
-        apply(payload);
+        apply(std::string(*payload));
       } catch (const std::runtime_error&) {
         break;
       }
@@ -158,7 +190,7 @@
     }
   }
   // A record torn by the end of the process was never acted on: it goes, all before it stands.
-  dropped_ = all.size() - good;
+  dropped_ = static_cast<std::uint64_t>(info.st_size) - good;
   if (::ftruncate(file_, static_cast<off_t>(good)) != 0) fail("journal: " + path_);
   size_ = good;
   if (size_ == 0) write_file(file_, size_, kMagic);
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -264,6 +264,16 @@
     in >> size >> pages;
     return pages * (::sysconf(_SC_PAGESIZE) / 1024);
   }
+  // The most memory that it has held, in KiB.
+  long peak() const {
+    std::ifstream in("/proc/" + std::to_string(child) + "/status");
+    std::string word;
+    long kib = 0;
+    while (in >> word && word != "VmHWM:") {
+    }
+    in >> kib;
+    return kib;
+  }
   std::string logged() {
     std::ifstream in(folder + "/log");
     return {std::istreambuf_iterator<char>(in), {}};
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,4 +1,5 @@
 // The whole relay over loopback sockets. Each test says which failure it guards against.
+#include "journal.hpp"
 #include "relay_harness.hpp"
 
 namespace heronvane::testing {
@@ -895,6 +896,36 @@
   }
 }
 
+// All that the disk takes, of messages that are over and some that are held, and discovery never says a word: the
+// relay is ready all the same, and reads its journal in no more memory than the smallest relay has.
+class LargeDiskTest : public RelayTest {
+ protected:
+  std::string limits() override { return R"({"cores":1.0,"memory_mb":32,"sockets":256,"disk_mb":64})"; }
+};
+TEST_F(LargeDiskTest, IsReadyWithAFullJournalAndNoList) {
+  constexpr std::uint64_t kDisk = 64'000'000;
+  {
+    Journal journal(folder + "/state", kDisk);
+    Message m;
+    m.id = "held", m.message_class = kUnsafe, m.destination = 7, m.deadline = wall_now() + 600'000'000;
+    journal.take(1, m);
+    m.body = std::string(60'000, 'x');
+    for (MessageId id = 2; journal.bytes() < kDisk / 100 * 95; id++) {
+      m.id = "over" + std::to_string(id);
+      journal.take(id, m), journal.over(id);
+      ASSERT_TRUE(journal.commit());
+    }
+  }
+  platform.on_request(stay_silent);
+  start();
+  EXPECT_EQ(health(), 200u);
+#ifndef __SANITIZE_ADDRESS__
+  EXPECT_LT(peak(), 32'000);
+#endif
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call of what was held");
+  EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "held");
+}
+
 // The journal fills with large bodies: clients are refused, and served again once there is room.
 class SmallDiskTest : public RelayTest {
  protected:
