Ask soon again for the whole list that failed to come after a move

After a move whose watch brings changes alone, the whole list is asked for by a call of its own. Its failure was told as that of a watch which had just broken, so the next call came up to 5 s later, on top of up to 2 s to the watch and 2 s of patience: over the 6 s (4 s after SIGHUP) after which it counts as told. It is told as silence now, which the module answers soon.

The test, without the change: lost is {moved, failed}, {moved, silent} is expected.

--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -200,7 +200,8 @@
   error_code ignored;
   query->socket.close(ignored);
   if (watch_ == query) watch_.reset();
-  if (fetch_ == query) fetch_.reset();
+  // The list that was to come whole after a move is as overdue as what a silent watch missed.
+  if (fetch_ == query) fetch_.reset(), loss = Loss::silent;
   if (whole_due_) index_ = 0;  // the next watch asks for all again
   lost_(loss);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -123,6 +123,22 @@
   EXPECT_EQ(lists[0].index, 3);
 }
 
+// After a move the whole list is asked for where changes came alone; should that fail, it is due no later than what a
+// silent watch missed, not after the gap that follows a watch that has just broken.
+TEST_F(PlatformTest, AWholeListThatDoesNotComeAfterAMoveIsAskedForSoon) {
+  Server moved(io, [this](const Got& g) { asked.push_back(g); });
+  begin(kLong, kLong);
+  platform->move(where(moved));
+  platform->watch();
+  wait_for([&] { return asked.size() == 1; }, "the watch at the new address");
+  asked[0].session->write(kHead + chunk(list(3)));
+  wait_for([&] { return asked.size() == 2; }, "the whole list is asked for");
+  EXPECT_EQ(asked[1].request.target(), "/catalog/members");
+  asked[1].session->close();
+  wait_for([&] { return lost.size() == 2; }, "its loss");
+  EXPECT_EQ(lost, (std::vector<Loss>{Loss::moved, Loss::silent}));
+}
+
 // A kept connection falls silent just as a notice is written to it: it goes on a new one, long before the second
 // after which its message would be lost. A try counts for nothing where the machine stood still meanwhile.
 TEST_F(PlatformTest, ANoticeOnAConnectionThatFellSilentGoesOnANewOne) {
