Test that idle clients leave all else its descriptors

It holds as it stands: config.cpp gives clients and endpoints half each of what is left after 24 for all else, the intake makes room by closing those that stand between requests, and a kept connection goes before a call has no place.

--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -986,8 +986,9 @@
   }
 }
 
-// The worst case of a change: discovery has it, and can be reached, just after a call began that nobody answers, or
-// with the last word of a watch. What relay and fleet wait together leaves a second of the 6 s for the answer.
+// The worst case of a change: discovery has it, and can be reached, just after a call began that nobody
+// answers, or with the last word of a watch. What relay and fleet wait together leaves a second of the 6 s
+// for the answer.
 TEST(AskedList, IsAskedForInTimeAfterACallThatNobodyAnswered) {
   for (const int relays : {1, 8, 9, 48, 300, 1300}) {
     auto s = pushed();
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -223,6 +223,11 @@
         ::signal(SIGXFSZ, SIG_IGN);
         ::setrlimit(RLIMIT_FSIZE, &limit);
       }
+      if (most_files > 0) {
+        for (rlim_t file = 3; file < 1024; file++) ::close(static_cast<int>(file));  // the test's own
+        const rlimit limit{most_files, most_files};
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+      }
       if (refuse_calls && !refuse_locks_and_local_sockets()) ::_exit(125);
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
@@ -352,6 +357,7 @@
   std::string more;                     // further members of the configuration
   pid_t child = -1;
   rlim_t largest_file = 0;    // that the program may write; 0: any
+  rlim_t most_files = 0;      // descriptors that the system lets it hold, none from here; 0: as the test
   bool refuse_calls = false;  // of the relay: locks on files and local sockets
   unsigned finals_status = 204;
   int refused_finals = 0;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -896,8 +896,59 @@
   }
 }
 
-// All that the disk takes, of messages that are over and some that are held, and discovery never says a word: the
-// relay is ready all the same, and reads its journal in no more memory than the smallest relay has.
+// Idle clients fill all the places there are while discovery is down, and the system grants not one
+// descriptor above the limit: calls, notices, the journal's second file and the configuration still get
+// theirs, clients with a request are taken on, and the list is read at the return.
+class IdleCrowdTest : public RelayTest {
+ protected:
+  IdleCrowdTest() { list_mode = "automatic", workers = 300, most_files = 64; }
+  std::string limits() override { return R"({"cores":1.0,"memory_mb":192,"sockets":64,"disk_mb":1})"; }
+};
+TEST_F(IdleCrowdTest, LeavesDescriptorsToAllElseWhileDiscoveryIsDown) {
+  std::size_t calls = 0;
+  std::vector<std::unique_ptr<Server>> silent;
+  for (int i = 0; i < 8; i++) {
+    silent.push_back(std::make_unique<Server>(io, [&](const Got&) { calls++; }));
+    members += (i == 0 ? "" : ",") + member("s-" + std::to_string(i), silent.back()->address());
+  }
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  platform.on_request([this](const Got& g) {
+    if (g.request.method() == http::verb::post) on_platform(g);
+  });
+  const auto before = platform.got.size();
+  watches[0]->close();
+  const auto crowd = [this] {
+    for (int i = 0; i < 60; i++) ASSERT_NE(connect(), nullptr);
+  };
+  for (std::size_t i = 0; i < 16; i++) {  // of 20 places for calls, which stay out
+    crowd();
+    ASSERT_EQ(hand_in("m" + std::to_string(i), kUnsafe, "x", "24000m"), 202u) << i;
+    wait_for([&] { return calls == i + 1; }, "its call");
+  }
+  crowd();
+  silent[0]->got.at(0).session->close();
+  const std::string id(silent[0]->got[0].request["X-Request-Id"]);
+  wait_for([&] { return finals.find("{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n") == 0; },
+           "the notice");
+  reload(config());
+  wait_for([&] { return logged().find("configuration read again") != std::string::npos; },
+           "the file is read");
+  wait_for([&] { return platform.got.size() >= before + 3; }, "discovery is asked on");
+  platform.on_request([this](const Got& g) { on_platform(g); });
+  members = member("s-9", endpoint.address());
+  wait_for([&] { return watches.size() == 2; }, "the list at its return");
+  const std::string body(60'000, 'x');  // thirty of them fill the disk nearly twice
+  for (int i = 0; i < 30; i++) {
+    crowd();
+    wait_for([&] { return hand_in("n" + std::to_string(i), kSafe, body) == 202u; }, "it is taken on");
+  }
+  wait_for([&] { return endpoint.got.size() >= 30; }, "their calls");
+  EXPECT_EQ(logged().find("Too many open files"), std::string::npos) << logged();
+}
+
+// All that the disk takes, of messages that are over and some that are held, and discovery never says a word:
+// the relay is ready all the same, and reads its journal in no more memory than the smallest relay has.
 class LargeDiskTest : public RelayTest {
  protected:
   std::string limits() override { return R"({"cores":1.0,"memory_mb":32,"sockets":256,"disk_mb":64})"; }
