Count a recovered key's window from the send, not from the recovery

Excluded: the record itself, whose wall time is that of the decision, before the first byte. The event carries the send on the clock of handle() now, as CallOut does.

The test, with the age taken 100 ms early (as before): sends_of(1) is 1, none is allowed; failed is 0, 1 is expected.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -142,9 +142,10 @@
 struct Recovered {
   Arrival message;   // time_left may be below 0
   int attempts = 0;  // made so far; further ones count on from there
-  // Where one of them may have run (also one whose outcome was never seen): the first such, and how long ago.
+  // Where one of them may have run (also one whose outcome was never seen): the first such, and when it was sent, by
+  // the clock of handle(): a time before this life may be below 0.
   std::optional<int> may_have_run_zone;
-  Time may_have_run_ago = 0;
+  Time may_have_run_sent = 0;
   std::optional<CallOut> out;  // its end is still to be told
 };
 // What an earlier life on the same clock had learnt, by its learnt(); after the list. What can't be read is left.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -176,7 +176,7 @@
       const bool is_out = r.out && &a - held.attempts.data() == r.out->attempt;
       if (is_out || !a.may_have_run() || r.may_have_run_zone) continue;
       r.may_have_run_zone = a.zone;
-      r.may_have_run_ago = std::max<Time>(wall_now() - a.sent, 0);
+      r.may_have_run_sent = steady_now() - std::max<Time>(wall_now() - a.sent, 0);
     }
     events_.push_back(std::move(r));
   }
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -721,7 +721,7 @@
     on(ev.message);
     Message& m = messages.at(ev.message.id);
     m.sends = ev.attempts;
-    m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
+    m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = ev.may_have_run_sent;
     if (ev.out) return take_over(m, *ev.out);
     // It may be running still: what comes behind it in its order waits as after any attempt in doubt.
     if (!m.key.empty() && m.may_ran_zone) rest(m.key, m.may_ran_sent + set.settle_after_doubt);
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -808,7 +808,7 @@
   event::Recovered r;
   r.message.id = id, r.message.destination = 1, r.message.message_class = c, r.message.time_left = left;
   r.attempts = attempts;
-  if (may_have_run) r.may_have_run_zone = 0, r.may_have_run_ago = 1 * kS;
+  if (may_have_run) r.may_have_run_zone = 0, r.may_have_run_sent = 0;
   return r;
 }
 TEST(Recovery, AnUnsafeMessageThatMayHaveRunFailsAtOnce) {
@@ -865,12 +865,25 @@
   Relay r;
   r.list({{.id = "a", .destination = 1}});
   auto late = recovered(1, kKeyed, 1, true);
-  late.may_have_run_ago = 6 * kS;  // the key is remembered for 5 s
+  late.may_have_run_sent = r.now - 6 * kS;  // the key is remembered for 5 s
   r.round({late, recovered(2, kKeyed, 1, true)});
   EXPECT_EQ(r.failed.count(1), 1u);
   EXPECT_EQ(r.sends_of(1), 0);
   EXPECT_EQ(r.sends_of(2), 1);
 }
+// Reading what an earlier life left takes time, on which the window runs, too: it ends where the send says.
+TEST(Recovery, TheWindowCountsFromTheSendHoweverLongTheStartTook) {
+  for (const Time left : {50 * kMs, 200 * kMs}) {
+    Relay r;
+    r.list({{.id = "a", .destination = 1}});
+    auto m = recovered(1, kKeyed, 1, true);
+    m.may_have_run_sent = r.now + left - 5 * kS;  // the key is remembered for 5 s
+    r.run_to(r.now + 100 * kMs);
+    r.round({m});
+    EXPECT_EQ(r.sends_of(1), left > 100 * kMs);
+    EXPECT_EQ(r.failed.count(1), left > 100 * kMs ? 0u : 1u);
+  }
+}
 // What a told wait keeps from being sent in time is handed back at once, with the time to come again; what
 // can still be sent is held.
 TEST(Waits, AMessageThatAWaitOutlastsEndsAtOnce) {
