Hold back a repeat whose key's window ends before it can begin

Excluded: latest_send, which is right when it decides; the record of the first send, made before its first byte; hold_back, which only a told wait or a leaving endpoint calls. Calls::connect and the plans that wait for the disk knew no such bound.

The tests, without the bound: the repeat is served by the bundle it was to stay out of (ended[0] waited for in vain, then outcome 4, 7 expected); on a kept connection m2 goes out where m3 is expected; sent[1].begin is 0.

--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -196,6 +196,7 @@
   MessageId id = 0;
   EndpointId endpoint;
   Time timeout = 0;
+  Time begin = 0;  // its first byte goes out before so long has passed, or it does not go; 0: whenever
 };
 struct Refuse {
   MessageId id = 0;
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -184,6 +184,8 @@
 }
 
 void Calls::write(const std::shared_ptr<Call>& call) {
+  end_late(call);
+  if (call->stage == Call::Stage::done) return;
   // Those that ended while the connection came up stay out of the call.
   std::vector<Outgoing> live;
   Time longest = 0;
@@ -338,7 +340,11 @@
   Time due = steady_now() + kNever;
   for (std::size_t i = 0; i < call->messages.size(); i++)
     if (!call->over[i] && !call->given_up[i]) due = std::min(due, call->sent + call->messages[i].timeout);
-  if (call->stage == Call::Stage::connecting) due = std::min(due, call->connect_due(limits_));
+  if (call->stage == Call::Stage::connecting) {
+    due = std::min(due, call->connect_due(limits_));
+    for (std::size_t i = 0; i < call->messages.size(); i++)
+      if (!call->over[i]) due = std::min(due, call->messages[i].begin_by);
+  }
   if (call->answer_due > 0) due = std::min(due, call->answer_due);
   call->timer.expires_after(span(std::max<Time>(due - steady_now(), 0)));
   call->timer.async_wait([this, call](error_code bad) {
@@ -346,6 +352,7 @@
     const Time now = steady_now();
     const bool connecting = call->stage == Call::Stage::connecting;
     if (connecting && now >= call->connect_due(limits_)) return end_all(call, Outcome::connect_failed);
+    if (connecting) end_late(call);
     if (call->answer_due > 0 && now >= call->answer_due) return broken(call);
     // Once its first byte is on the way, a call that is given up may have run.
     for (std::size_t i = 0; i < call->messages.size(); i++)
@@ -386,6 +393,13 @@
   for (std::size_t i = 0; i < call->messages.size(); i++) end(call, i, outcome, closed);
 }
 
+// Of a call that has not begun, the messages that may not be begun any more stay out.
+void Calls::end_late(const std::shared_ptr<Call>& call) {
+  const Time now = steady_now();
+  for (std::size_t i = 0; i < call->messages.size(); i++)
+    if (now >= call->messages[i].begin_by) end(call, i, Outcome::not_sent);
+}
+
 // A message that was written is out until its call ends, by an answer or with its connection: one that was
 // told before could be sent again beside it. What never went out ends at once.
 void Calls::give_up(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome) {
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,7 +35,8 @@
   Time timeout = 0;
   std::string wire_id, body;
   std::string key = {};
-  Time left = 3'600'000'000;  // until it is over, delivered or not
+  Time left = 3'600'000'000;                         // until it is over, delivered or not
+  Time begin_by = std::numeric_limits<Time>::max();  // its first byte goes out before that, or it does not go
 };
 
 // A call that was written whole and waits for its answer, as one process hands it to the next.
@@ -105,6 +107,7 @@
   void arm(const std::shared_ptr<Call>& call);
   void end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed = false);
   void give_up(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome);
+  void end_late(const std::shared_ptr<Call>& call);
   void end_all(const std::shared_ptr<Call>& call, Outcome outcome, bool closed = false);
   void keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection);
   void watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -386,6 +386,7 @@
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
   Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body,
                h.message.key, h.message.deadline - wall_now() - 2 * config_.settings.tick};
+  if (a.begin > 0) one.begin_by = last_round_ + a.begin;
   journal_.sent(a.id, wall_now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
   const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1019,7 +1019,9 @@
     const double aims = seconds(m.cls->aim) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
     const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
     m.out[m.sends++] = e.open_call;
-    out->push_back(action::Send{m.id, e.info.id, timeout});
+    // Guards against a connection that comes up when the key is forgotten: the message would run twice.
+    const Time begin = m.cls->effect == Effect::keyed && m.may_ran_zone ? latest_send(m) - now : 0;
+    out->push_back(action::Send{m.id, e.info.id, timeout, begin});
   }
 
   // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -92,5 +92,52 @@
   EXPECT_GE(ended[0].latency, 3 * kSoon);
 }
 
+// A repeat whose key is forgotten while its connection comes up would run a second time: it stays out of the call, which
+// goes on with the rest. The endpoint lets no connection come up until then: the one place for those it has not
+// taken yet is taken.
+TEST_F(CallsTest, ARepeatWhoseTimeEndsBeforeItsConnectionIsUpIsNotSent) {
+  tcp::acceptor full(io, tcp::v4());
+  full.bind({net::ip::make_address(own_address()), 0});
+  full.listen(0);
+  tcp::socket first(io);
+  first.connect(full.local_endpoint());
+  calls.locate("s-2", full.local_endpoint());
+  auto late = message(1, kLong);
+  late.begin_by = steady_now() + kSoon;
+  calls.send("s-2", {late, message(2, kLong)});
+  wait_for([&] { return ended.size() == 1; }, "it ends");
+  EXPECT_EQ(ended[0].id, 1u);
+  EXPECT_EQ(ended[0].outcome, Outcome::not_sent);
+  full.accept();
+  tcp::socket socket(io);
+  Request request;
+  beast::flat_buffer buffer;
+  bool read = false;
+  full.async_accept(socket, [&](error_code bad) {
+    ASSERT_FALSE(bad);
+    http::async_read(socket, buffer, request, [&](error_code, std::size_t) { read = true; });
+  });
+  wait_for([&] { return read; }, "the call");
+  EXPECT_EQ(request.target(), "/events");
+  EXPECT_EQ(request["X-Request-Id"], "m2");
+  EXPECT_EQ(ended.size(), 1u);
+}
+
+// Decided in time, but held up: by a disk that took no records, say.
+TEST_F(CallsTest, ARepeatThatComesTooLateIsNotSentOnAKeptConnectionEither) {
+  calls.send("s-1", {message(1, kLong)});
+  wait_for([&] { return endpoint.got.size() == 1; }, "the first call");
+  endpoint.got[0].session->answer(200);
+  wait_for([&] { return ended.size() == 1; }, "its answer");
+  auto late = message(2, kLong);
+  late.begin_by = steady_now();
+  calls.send("s-1", {late});
+  wait_for([&] { return ended.size() == 2; }, "its end");
+  EXPECT_EQ(ended[1].outcome, Outcome::not_sent);
+  calls.send("s-1", {message(3, kLong)});
+  wait_for([&] { return endpoint.got.size() == 2; }, "the next call");
+  EXPECT_EQ(endpoint.got[1].request["X-Request-Id"], "m3");
+}
+
 }  // namespace
 }  // namespace heronvane::testing
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -41,7 +41,7 @@
   MessageId id;
   int attempt;
   EndpointId endpoint;
-  Time at, timeout;
+  Time at, timeout, begin;
 };
 
 // Drives one dispatcher: keeps the clock, counts attempts, fires timers, collects what was done.
@@ -54,7 +54,7 @@
     dispatcher_.handle(now, events, actions);
     for (const auto& a : actions) {
       if (const auto* x = std::get_if<action::Send>(&a)) {
-        const Sent one{x->id, attempts_[x->id]++, x->endpoint, now, x->timeout};
+        const Sent one{x->id, attempts_[x->id]++, x->endpoint, now, x->timeout, x->begin};
         sent.push_back(one);
         out.push_back(one);
       } else if (const auto* r = std::get_if<action::Refuse>(&a)) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -83,7 +83,9 @@
   r.run_to(first + 5 * kS - 100 * kMs);
   r.end(id, Outcome::timeout);
   r.run_to(r.now + 15 * kS);
-  for (const auto& s : r.sent) EXPECT_LE(s.at, first + 5 * kS);
+  for (const auto& s : r.sent) EXPECT_LE(s.at + s.begin, first + 5 * kS);
+  EXPECT_EQ(r.sent[0].begin, 0);
+  EXPECT_GT(r.sent[1].begin, 0);  // also where its connection takes long to come up
   EXPECT_EQ(r.failed.count(id) + r.refused.count(id), 1u);
 }
 TEST(Effects, KeyedWindowCountsFromTheAttemptThatMayHaveRun) {
