--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -236,6 +236,49 @@
   EXPECT_NE(endpoint.got[2].request.body().find(R"({"id":"m3","body":)"), std::string::npos);
 }
 
+// Of messages that may have run, those whose key's window is over end by a notice and are not sent again; the
+// window counts from the first attempt that may have run, whatever came later, and not from one that never
+// ran.
+TEST_F(RelayTest, ARestartRepeatsAKeyedMessageOnlyInsideItsWindow) {
+  const auto keyed = [](const std::string& name, const std::string& window) {
+    return R"(,{"Name":")" + name + R"(","Points":1.0,"Target":1000000,"Deadline":6000000,"Window":)" +
+           window + R"(,"Idempotency":"idempotency_key"})";
+  };
+  more_classes = keyed("short", "1000000") + keyed("long", "3600000000");
+  {
+    const Time now = wall_now(), before = now - 10'000'000;
+    Journal journal(folder + "/state", 3'000'000);
+    const auto held = [&](MessageId id, const std::string& cls,
+                          const std::vector<std::pair<Time, std::optional<Outcome>>>& attempts) {
+      Message m;
+      m.id = "m" + std::to_string(id), m.message_class = cls, m.key = "key-" + m.id;
+      m.destination = 7, m.deadline = now + 600'000'000;
+      journal.take(id, m);
+      for (std::size_t i = 0; i < attempts.size(); i++) {
+        journal.sent(id, attempts[i].first, 0);
+        if (attempts[i].second) journal.outcome(id, static_cast<int>(i), *attempts[i].second);
+      }
+    };
+    held(1, "short", {{before, std::nullopt}});
+    held(2, "short", {{before, Outcome::reset}, {now, std::nullopt}});
+    held(3, "short", {{before, Outcome::timeout}, {now, Outcome::full}});
+    held(4, "long", {{now, std::nullopt}});
+    held(5, "short", {{before, Outcome::full}});
+    ASSERT_TRUE(journal.commit());
+  }
+  start();
+  wait_for([&] { return endpoint.got.size() >= 2 && std::count(finals.begin(), finals.end(), '\n') >= 3; },
+           "their calls and notices");
+  std::set<std::string> sent;
+  for (const auto& g : endpoint.got) sent.insert(std::string(g.request["X-Request-Id"]));
+  EXPECT_EQ(sent, (std::set<std::string>{"m4", "m5"}));
+  EXPECT_EQ(endpoint.got.size(), 2u);
+  std::string over;
+  for (const std::string id : {"m1", "m2", "m3"})
+    over += R"({"id":")" + id + R"(","status":"undeliverable"})" + "\n";
+  EXPECT_EQ(finals, over);
+}
+
 // Messages of one subject go one at a time, in the order in which they were taken on, also by the next life.
 TEST_F(RelayTest, MessagesInOrderGoOneAfterTheOther) {
   more_classes = kOtherClasses;
