--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -69,6 +69,9 @@
   bool subscribe = false;  // list changes come only to those that subscribed
   // What discovery has sent to this relay's machine counts as told, asked for or not; asking there costs nothing.
   bool pushed = false;
+  // Else: so long a call for the list waits for its answer, and a watch for the next word, before either is lost.
+  // What was missed counts as told 6 s after it happened or the watch fell silent: the gaps fill what is left.
+  Time ask_patience = 2'000'000, watch_patience = 3'500'000;
   Time tick = 1'000;       // least time between rounds
   Time connect_timeout = 1'000'000;
   Time connection_idle = 10'000'000;  // idle connections close by themselves after this
@@ -139,9 +142,10 @@
 struct Recovered {
   Arrival message;   // time_left may be below 0
   int attempts = 0;  // made so far; further ones count on from there
-  // Where one of them may have run (also one whose outcome was never seen): the first such, and how long ago.
+  // Where one of them may have run (also one whose outcome was never seen): the first such, and when it was sent, by
+  // the clock of handle(): a time before this life may be below 0.
   std::optional<int> may_have_run_zone;
-  Time may_have_run_ago = 0;
+  Time may_have_run_sent = 0;
   std::optional<CallOut> out;  // its end is still to be told
 };
 // What an earlier life on the same clock had learnt, by its learnt(); after the list. What can't be read is left.
@@ -192,6 +196,7 @@
   MessageId id = 0;
   EndpointId endpoint;
   Time timeout = 0;
+  Time begin = 0;  // its first byte goes out before so long has passed, or it does not go; 0: whenever
 };
 struct Refuse {
   MessageId id = 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -28,10 +28,8 @@
 constexpr Time kDrainAccept = 600'000, kDrainSend = 1'500'000, kDrainMost = 3'000'000;
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
 
-// An empty line comes on a watch so often; what a silent one misses counts as told 6 s after it fell silent.
-constexpr std::chrono::microseconds kHeartbeat = std::chrono::seconds(2),
-                                    kAskedSilent = std::chrono::milliseconds(4500);
-constexpr std::chrono::microseconds kAskedAnswer = std::chrono::seconds(2), kMostGrace = std::chrono::seconds(2);
+// An empty line comes on a watch so often.
+constexpr std::chrono::microseconds kHeartbeat = std::chrono::seconds(2), kMostGrace = std::chrono::seconds(2);
 // The platform answers a notice at once; a message whose notice is 300 ms late is lost.
 constexpr std::chrono::microseconds kNoticeAnswer = std::chrono::milliseconds(75);
 
@@ -62,7 +60,7 @@
 // A call for the list that nobody answers is given up, and a watch that has fallen silent taken as broken, so
 // soon that another can still tell of a drain within its grace.
 Patience patience(const cedarplank::Settings& s) {
-  if (!s.pushed) return {kAskedAnswer, kAskedSilent, kNoticeAnswer};
+  if (!s.pushed) return {span(s.ask_patience), span(s.watch_patience), kNoticeAnswer};
   const auto grace = s.drain_grace > 0 ? std::min(span(s.drain_grace), kMostGrace) : kMostGrace;
   return {grace / 4, kHeartbeat + grace / 2, kNoticeAnswer};
 }
@@ -178,7 +176,7 @@
       const bool is_out = r.out && &a - held.attempts.data() == r.out->attempt;
       if (is_out || !a.may_have_run() || r.may_have_run_zone) continue;
       r.may_have_run_zone = a.zone;
-      r.may_have_run_ago = std::max<Time>(wall_now() - a.sent, 0);
+      r.may_have_run_sent = steady_now() - std::max<Time>(wall_now() - a.sent, 0);
     }
     events_.push_back(std::move(r));
   }
@@ -388,6 +386,7 @@
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
   Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body,
                h.message.key, h.message.deadline - wall_now() - 2 * config_.settings.tick};
+  if (a.begin > 0) one.begin_by = last_round_ + a.begin;
   journal_.sent(a.id, wall_now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
   const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -90,7 +90,7 @@
 constexpr double kCrowded = 30;   // seconds for which it is taken to be crowded after a connect that failed
 // List and buffer.
 constexpr double kLeastLeft = 0.05;  // of the shortest aim: with less time left, nothing is sent any more
-constexpr double kAskAgain = 0.5, kAskAgainMost = 4;
+constexpr double kAskAgain = 0.5;  // the first gap after a call that failed
 constexpr double kAskApart =
     0.1;  // seconds between the calls for the list of all relays together, where many
 // A change counts as told so long after it, arrived or not; this is kept back for the answer to come.
@@ -663,12 +663,15 @@
       ask_at = at_once ? now : now + micros(jittered(pushed_pause()));
       return;
     }
-    const double spread = ask_spread(), least = had ? 0 : spread / 2;
+    // Until it is asked for again, a change may have waited as long as the call or the watch that brought none.
+    const Time gone = ev.why != event::Loss::failed ? set.watch_patience : had ? 0 : set.ask_patience;
+    const double most = kToldAnyway - kAnswerTime - seconds(gone), spread = std::min(ask_spread(), most);
     if (ev.why == event::Loss::failed) {
-      ask_at = now + micros(std::max(jittered(ask_gap), least + uniform() * spread));
-      ask_gap = std::min(2 * ask_gap, std::max(kAskAgainMost, spread));
+      const double least = had ? 0 : spread / 2;
+      ask_at = now + micros(std::max(jittered(ask_gap), least + uniform() * (spread - least)));
+      ask_gap = std::min(2 * ask_gap, (kToldAnyway - kAnswerTime - seconds(set.ask_patience)) / (1 + kJitter));
     } else {
-      ask_at = now + micros(uniform() * std::min(spread, kAnswerTime + seconds(set.drain_grace) / 2));
+      ask_at = now + micros(uniform() * spread);
     }
   }
   // Between two calls to an agent that does not answer: often enough to hear of a drain within its grace.
@@ -718,7 +721,7 @@
     on(ev.message);
     Message& m = messages.at(ev.message.id);
     m.sends = ev.attempts;
-    m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = now - ev.may_have_run_ago;
+    m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = ev.may_have_run_sent;
     if (ev.out) return take_over(m, *ev.out);
     // It may be running still: what comes behind it in its order waits as after any attempt in doubt.
     if (!m.key.empty() && m.may_ran_zone) rest(m.key, m.may_ran_sent + set.settle_after_doubt);
@@ -1016,7 +1019,9 @@
     const double aims = seconds(m.cls->aim) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
     const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
     m.out[m.sends++] = e.open_call;
-    out->push_back(action::Send{m.id, e.info.id, timeout});
+    // Guards against a connection that comes up when the key is forgotten: the message would run twice.
+    const Time begin = m.cls->effect == Effect::keyed && m.may_ran_zone ? latest_send(m) - now : 0;
+    out->push_back(action::Send{m.id, e.info.id, timeout, begin});
   }
 
   // Guards against calls taken and never answered: they would hold slots, and repeatable messages, until
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -808,7 +808,7 @@
   event::Recovered r;
   r.message.id = id, r.message.destination = 1, r.message.message_class = c, r.message.time_left = left;
   r.attempts = attempts;
-  if (may_have_run) r.may_have_run_zone = 0, r.may_have_run_ago = 1 * kS;
+  if (may_have_run) r.may_have_run_zone = 0, r.may_have_run_sent = 0;
   return r;
 }
 TEST(Recovery, AnUnsafeMessageThatMayHaveRunFailsAtOnce) {
@@ -865,12 +865,25 @@
   Relay r;
   r.list({{.id = "a", .destination = 1}});
   auto late = recovered(1, kKeyed, 1, true);
-  late.may_have_run_ago = 6 * kS;  // the key is remembered for 5 s
+  late.may_have_run_sent = r.now - 6 * kS;  // the key is remembered for 5 s
   r.round({late, recovered(2, kKeyed, 1, true)});
   EXPECT_EQ(r.failed.count(1), 1u);
   EXPECT_EQ(r.sends_of(1), 0);
   EXPECT_EQ(r.sends_of(2), 1);
 }
+// Reading what an earlier life left takes time, on which the window runs, too: it ends where the send says.
+TEST(Recovery, TheWindowCountsFromTheSendHoweverLongTheStartTook) {
+  for (const Time left : {50 * kMs, 200 * kMs}) {
+    Relay r;
+    r.list({{.id = "a", .destination = 1}});
+    auto m = recovered(1, kKeyed, 1, true);
+    m.may_have_run_sent = r.now + left - 5 * kS;  // the key is remembered for 5 s
+    r.run_to(r.now + 100 * kMs);
+    r.round({m});
+    EXPECT_EQ(r.sends_of(1), left > 100 * kMs);
+    EXPECT_EQ(r.failed.count(1), left > 100 * kMs ? 0u : 1u);
+  }
+}
 // What a told wait keeps from being sent in time is handed back at once, with the time to come again; what
 // can still be sent is held.
 TEST(Waits, AMessageThatAWaitOutlastsEndsAtOnce) {
@@ -986,5 +999,40 @@
   }
 }
 
+// The worst case of a change: discovery has it, and can be reached, just after a call began that nobody
+// answers, or with the last word of a watch. What relay and fleet wait together leaves a second of the 6 s
+// for the answer.
+TEST(AskedList, IsAskedForInTimeAfterACallThatNobodyAnswered) {
+  for (const int relays : {1, 8, 9, 48, 300, 1300}) {
+    auto s = pushed();
+    s.pushed = false, s.relays = relays;
+    for (std::uint64_t seed = 1; seed <= 40; seed++) {
+      Relay r(s, seed);
+      const auto next = [&r](std::size_t n) {
+        while (r.asked.size() == n && r.now < 1000 * kS) r.run_to(r.now + 20 * kMs);
+        return r.asked.back();
+      };
+      const auto lose = [&](event::Loss why) {
+        const auto n = r.asked.size();
+        r.round({event::ListFailed{why}});
+        return next(n);
+      };
+      r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+      for (Time began = next(0), calls = 0; calls < 12; calls++) {
+        r.run_to(began + s.ask_patience);
+        const Time again = lose(event::Loss::failed);
+        ASSERT_LE(again, began + 5 * kS) << relays << " relays, call " << calls;
+        began = again;
+      }
+      for (const auto why : {event::Loss::failed, event::Loss::silent, event::Loss::moved}) {
+        r.list({{.id = "a", .destination = 1}});
+        r.run_to(r.now + 20 * kS);
+        const Time lost = r.now, silent_for = why == event::Loss::silent ? s.watch_patience : 0;
+        ASSERT_LE(lose(why) + silent_for, lost + (why == event::Loss::moved ? 3 : 5) * kS) << relays;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace cedarplank::testing
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -1,4 +1,5 @@
 // The whole relay over loopback sockets. Each test says which failure it guards against.
+#include "journal.hpp"
 #include "relay_harness.hpp"
 
 namespace heronvane::testing {
@@ -235,6 +236,49 @@
   EXPECT_NE(endpoint.got[2].request.body().find(R"({"id":"m3","body":)"), std::string::npos);
 }
 
+// Of messages that may have run, those whose key's window is over end by a notice and are not sent again; the
+// window counts from the first attempt that may have run, whatever came later, and not from one that never
+// ran.
+TEST_F(RelayTest, ARestartRepeatsAKeyedMessageOnlyInsideItsWindow) {
+  const auto keyed = [](const std::string& name, const std::string& window) {
+    return R"(,{"Name":")" + name + R"(","Points":1.0,"Target":1000000,"Deadline":6000000,"Window":)" +
+           window + R"(,"Idempotency":"idempotency_key"})";
+  };
+  more_classes = keyed("short", "1000000") + keyed("long", "3600000000");
+  {
+    const Time now = wall_now(), before = now - 10'000'000;
+    Journal journal(folder + "/state", 3'000'000);
+    const auto held = [&](MessageId id, const std::string& cls,
+                          const std::vector<std::pair<Time, std::optional<Outcome>>>& attempts) {
+      Message m;
+      m.id = "m" + std::to_string(id), m.message_class = cls, m.key = "key-" + m.id;
+      m.destination = 7, m.deadline = now + 600'000'000;
+      journal.take(id, m);
+      for (std::size_t i = 0; i < attempts.size(); i++) {
+        journal.sent(id, attempts[i].first, 0);
+        if (attempts[i].second) journal.outcome(id, static_cast<int>(i), *attempts[i].second);
+      }
+    };
+    held(1, "short", {{before, std::nullopt}});
+    held(2, "short", {{before, Outcome::reset}, {now, std::nullopt}});
+    held(3, "short", {{before, Outcome::timeout}, {now, Outcome::full}});
+    held(4, "long", {{now, std::nullopt}});
+    held(5, "short", {{before, Outcome::full}});
+    ASSERT_TRUE(journal.commit());
+  }
+  start();
+  wait_for([&] { return endpoint.got.size() >= 2 && std::count(finals.begin(), finals.end(), '\n') >= 3; },
+           "their calls and notices");
+  std::set<std::string> sent;
+  for (const auto& g : endpoint.got) sent.insert(std::string(g.request["X-Request-Id"]));
+  EXPECT_EQ(sent, (std::set<std::string>{"m4", "m5"}));
+  EXPECT_EQ(endpoint.got.size(), 2u);
+  std::string over;
+  for (const std::string id : {"m1", "m2", "m3"})
+    over += R"({"id":")" + id + R"(","status":"undeliverable"})" + "\n";
+  EXPECT_EQ(finals, over);
+}
+
 // Messages of one subject go one at a time, in the order in which they were taken on, also by the next life.
 TEST_F(RelayTest, MessagesInOrderGoOneAfterTheOther) {
   more_classes = kOtherClasses;
@@ -895,6 +939,87 @@
   }
 }
 
+// Idle clients fill all the places there are while discovery is down, and the system grants not one
+// descriptor above the limit: calls, notices, the journal's second file and the configuration still get
+// theirs, clients with a request are taken on, and the list is read at the return.
+class IdleCrowdTest : public RelayTest {
+ protected:
+  IdleCrowdTest() { list_mode = "automatic", workers = 300, most_files = 64; }
+  std::string limits() override { return R"({"cores":1.0,"memory_mb":192,"sockets":64,"disk_mb":1})"; }
+};
+TEST_F(IdleCrowdTest, LeavesDescriptorsToAllElseWhileDiscoveryIsDown) {
+  std::size_t calls = 0;
+  std::vector<std::unique_ptr<Server>> silent;
+  for (int i = 0; i < 8; i++) {
+    silent.push_back(std::make_unique<Server>(io, [&](const Got&) { calls++; }));
+    members += (i == 0 ? "" : ",") + member("s-" + std::to_string(i), silent.back()->address());
+  }
+  start();
+  wait_for([&] { return watches.size() == 1; }, "the watch");
+  platform.on_request([this](const Got& g) {
+    if (g.request.method() == http::verb::post) on_platform(g);
+  });
+  const auto before = platform.got.size();
+  watches[0]->close();
+  const auto crowd = [this] {
+    for (int i = 0; i < 60; i++) ASSERT_NE(connect(), nullptr);
+  };
+  for (std::size_t i = 0; i < 16; i++) {  // of 20 places for calls, which stay out
+    crowd();
+    ASSERT_EQ(hand_in("m" + std::to_string(i), kUnsafe, "x", "24000m"), 202u) << i;
+    wait_for([&] { return calls == i + 1; }, "its call");
+  }
+  crowd();
+  silent[0]->got.at(0).session->close();
+  const std::string id(silent[0]->got[0].request["X-Request-Id"]);
+  wait_for([&] { return finals.find("{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n") == 0; },
+           "the notice");
+  reload(config());
+  wait_for([&] { return logged().find("configuration read again") != std::string::npos; },
+           "the file is read");
+  wait_for([&] { return platform.got.size() >= before + 3; }, "discovery is asked on");
+  platform.on_request([this](const Got& g) { on_platform(g); });
+  members = member("s-9", endpoint.address());
+  wait_for([&] { return watches.size() == 2; }, "the list at its return");
+  const std::string body(60'000, 'x');  // thirty of them fill the disk nearly twice
+  for (int i = 0; i < 30; i++) {
+    crowd();
+    wait_for([&] { return hand_in("n" + std::to_string(i), kSafe, body) == 202u; }, "it is taken on");
+  }
+  wait_for([&] { return endpoint.got.size() >= 30; }, "their calls");
+  EXPECT_EQ(logged().find("Too many open files"), std::string::npos) << logged();
+}
+
+// All that the disk takes, of messages that are over and some that are held, and discovery never says a word:
+// the relay is ready all the same, and reads its journal in no more memory than the smallest relay has.
+class LargeDiskTest : public RelayTest {
+ protected:
+  std::string limits() override { return R"({"cores":1.0,"memory_mb":32,"sockets":256,"disk_mb":64})"; }
+};
+TEST_F(LargeDiskTest, IsReadyWithAFullJournalAndNoList) {
+  constexpr std::uint64_t kDisk = 64'000'000;
+  {
+    Journal journal(folder + "/state", kDisk);
+    Message m;
+    m.id = "held", m.message_class = kUnsafe, m.destination = 7, m.deadline = wall_now() + 600'000'000;
+    journal.take(1, m);
+    m.body = std::string(60'000, 'x');
+    for (MessageId id = 2; journal.bytes() < kDisk / 100 * 95; id++) {
+      m.id = "over" + std::to_string(id);
+      journal.take(id, m), journal.over(id);
+      ASSERT_TRUE(journal.commit());
+    }
+  }
+  platform.on_request(stay_silent);
+  start();
+  EXPECT_EQ(health(), 200u);
+#ifndef __SANITIZE_ADDRESS__
+  EXPECT_LT(peak(), 32'000);
+#endif
+  wait_for([&] { return endpoint.got.size() == 1; }, "the call of what was held");
+  EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "held");
+}
+
 // The journal fills with large bodies: clients are refused, and served again once there is room.
 class SmallDiskTest : public RelayTest {
  protected:
