Measure the module's cost against its size: yarrowwood_scale slopes

For each cost several sizes, the median of repetitions in processor time of the thread, and the least-squares line with its residual, the exponent between the two largest sizes and the sizes that lie off the line by over 15%.

--- a/scale/experiment.cpp
+++ b/scale/experiment.cpp
@@ -38,6 +38,12 @@
                  (key.empty() ? "" : "." + key) + ": " + what);
 }
 
+void Experiment::refuse(const std::string& key, const std::string& what) const {
+  const toml::node* node = table_ == nullptr ? nullptr : table_->get(key);
+  if (node == nullptr) throw BadInput(name_ + "." + key + ": " + what);
+  bad(*node, key, what);
+}
+
 void Experiment::read(const std::string& key, double& value, double least, double most) {
   const toml::node* node = find(key);
   if (node == nullptr) return;
--- a/scale/experiment.hpp
+++ b/scale/experiment.hpp
@@ -26,6 +26,8 @@
   void read(const std::string& key, std::int64_t& value, std::int64_t least, std::int64_t most);
   void read(const std::string& key, std::vector<std::int64_t>& values, std::int64_t least, std::int64_t most);
   void read(const std::string& key, bool& value);
+  // Throws BadInput for a key whose value makes no sense beside others, or by more than its range.
+  [[noreturn]] void refuse(const std::string& key, const std::string& what) const;
   // Throws BadInput for a key that nothing has read: a misspelt one would silently keep its default.
   void finish() const;
 
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -11,6 +11,7 @@
   constexpr int kBadInput = 2;
   CLI::App app{"Scale tests of the relay and its decision module", "yarrowwood_scale"};
   app.require_subcommand(1);
+  scale::add_slopes(app);
   try {
     app.parse(argc, argv);
     return 0;
--- /dev/null
+++ b/scale/slopes.cpp
@@ -0,0 +1,81 @@
+#include "slopes.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace yarrowwood::scale {
+namespace {
+
+constexpr std::int64_t kMostSize = 20'000'000;
+
+// Fewer than two sizes make no line.
+void read_sizes(Experiment& experiment, const std::string& key, Sizes& sizes) {
+  experiment.read(key, sizes, 1, kMostSize);
+  std::sort(sizes.begin(), sizes.end());
+  sizes.erase(std::unique(sizes.begin(), sizes.end()), sizes.end());
+  if (sizes.size() < 2) experiment.refuse(key, "two different sizes are needed");
+}
+
+std::string text_of(const std::vector<double>& sizes) {
+  std::ostringstream out;
+  for (const double size : sizes) out << (out.tellp() > 0 ? " " : "") << static_cast<std::int64_t>(size);
+  return out.str().empty() ? "-" : out.str();
+}
+
+double asked(const SlopesSettings& s, const std::string& of) {
+  if (of == kEndpoints) return s.asked_endpoints;
+  if (of == kMessages) return s.asked_messages;
+  if (of == kDestinationsDown || of == kRecalled) return s.asked_destinations;
+  if (of == kRate) return s.asked_messages_per_s;
+  return 0;
+}
+
+}  // namespace
+
+void SlopesSettings::read(Experiment& e) {
+  e.read("repetitions", repetitions, 1, 1000);
+  e.read("endpoints_per_destination", endpoints_per_destination, 1, 1000);
+  e.read("body_bytes", body_bytes, 0, 64 * 1024);
+  e.read("down", down, 1, 100'000);
+  read_sizes(e, "endpoints", endpoints);
+  read_sizes(e, "messages", messages);
+  read_sizes(e, "destinations_down", destinations_down);
+  read_sizes(e, "calls_out", calls_out);
+  read_sizes(e, "recalled", recalled);
+  read_sizes(e, "batch", batch);
+  e.read("asked_endpoints", asked_endpoints, 0, 1e12);
+  e.read("asked_destinations", asked_destinations, 0, 1e12);
+  e.read("asked_messages", asked_messages, 0, 1e12);
+  e.read("asked_messages_per_s", asked_messages_per_s, 0, 1e12);
+  e.read("list_limit_bytes", list_limit_bytes, 1, std::int64_t{1} << 40);
+}
+
+void Slopes::add(const std::string& cost, const std::string& of, std::int64_t size, double value) {
+  report_.add({{"part", part_}, {"cost", cost}, {"of", of}, {"size", size}, {"measured", value}});
+  progress(part_ + ": " + cost + " at " + std::to_string(size) + " " + of);
+  auto it = std::find_if(series_.begin(), series_.end(),
+                         [&](const Series& s) { return s.cost == cost && s.of == of; });
+  if (it == series_.end()) it = series_.insert(it, {cost, of, {}});
+  it->points.push_back({static_cast<double>(size), value});
+}
+
+void Slopes::end() {
+  for (const auto& s : series_) {
+    const Line line = least_squares(s.points);
+    const double to = asked(set, s.of);
+    report_.add({{"part", part_},
+                 {"cost", s.cost},
+                 {"of", s.of},
+                 {"slope", line.slope},
+                 {"intercept", line.intercept},
+                 {"residual", line.residual},
+                 {"exponent", line.exponent},
+                 {"asked", static_cast<std::int64_t>(to)},
+                 {"line_there", to > 0 ? line.at(to) : 0.0},
+                 {"off_line_at", text_of(line.off_line_at)}});
+  }
+  series_.clear();
+  progress("");
+}
+
+}  // namespace yarrowwood::scale
--- /dev/null
+++ b/scale/slopes.hpp
@@ -0,0 +1,66 @@
+// The cost of each part of the relay at several sizes, and the line through them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "experiment.hpp"
+#include "least_squares.hpp"
+#include "report.hpp"
+
+namespace yarrowwood::scale {
+
+using Sizes = std::vector<std::int64_t>;
+
+// The table [slopes] of an experiment file. The sizes of each list grow.
+struct SlopesSettings {
+  std::int64_t repetitions = 3;            // of each measurement; the median counts
+  double endpoints_per_destination = 1.7;  // listed
+  std::int64_t body_bytes = 200;           // of a message
+  std::int64_t down = 1000;                // destinations among which held messages are spread
+  Sizes endpoints{20'000, 40'000, 80'000, 160'000, 323'000};
+  Sizes messages{50'000, 100'000, 200'000, 400'000};
+  Sizes destinations_down{250, 500, 1000, 2000, 4000};
+  Sizes calls_out{64, 128, 256, 512, 1024};
+  Sizes recalled{500, 1000, 2000, 4000};  // destinations, of what an earlier life had learnt
+  Sizes batch{1, 8, 64, 512};             // records written by one commit
+  // What a relay of the fleet is to bear; each line is followed to there. 0: not asked.
+  double asked_endpoints = 323'000, asked_destinations = 190'000, asked_messages = 9.2e6;
+  double asked_messages_per_s = 208;
+  std::int64_t list_limit_bytes = 4 << 20;  // kMostList of relay/platform.cpp
+
+  void read(Experiment& experiment);  // throws BadInput
+};
+
+// Collects costs and reports them: each as it is measured, the lines at the end of a part.
+class Slopes {
+ public:
+  Slopes(Report& report, const SlopesSettings& settings) : set(settings), report_(report) {}
+
+  void begin(const std::string& part) { part_ = part; }
+  // `cost` names its unit, as "round, us"; `of` is one of those below.
+  void add(const std::string& cost, const std::string& of, std::int64_t size, double value);
+  void end();
+
+  const SlopesSettings& set;
+
+ private:
+  struct Series {
+    std::string cost, of;
+    std::vector<Point> points;
+  };
+  Report& report_;
+  std::string part_;
+  std::vector<Series> series_;  // of this part
+};
+
+// What sizes are sizes of.
+inline const std::string kEndpoints = "endpoints listed", kMessages = "messages held",
+                         kDestinationsDown = "destinations down", kCallsOut = "calls out",
+                         kRecalled = "destinations learnt", kBatch = "records a commit",
+                         kRate = "messages a second";
+
+void module_slopes(Slopes& slopes);
+
+}  // namespace yarrowwood::scale
