--- a/scale/meters.cpp
+++ b/scale/meters.cpp
@@ -9,7 +9,7 @@
 #include <filesystem>
 #include <new>
 #include <system_error>
-#include <vector>
+#include <utility>
 
 namespace {
 
@@ -77,15 +77,19 @@
   return thread_time() - begin;
 }
 
-double median_of(std::int64_t repetitions, const std::function<double()>& measure) {
-  std::vector<double> all;
-  for (std::int64_t i = 0; i < repetitions; i++) all.push_back(measure());
+double median(std::vector<double> all) {
   if (all.empty()) return 0;
   std::sort(all.begin(), all.end());
   const auto half = all.size() / 2;
   return all.size() % 2 == 1 ? all[half] : (all[half - 1] + all[half]) / 2;
 }
 
+double median_of(std::int64_t repetitions, const std::function<double()>& measure) {
+  std::vector<double> all;
+  for (std::int64_t i = 0; i < repetitions; i++) all.push_back(measure());
+  return median(std::move(all));
+}
+
 ScratchFolder::ScratchFolder()
     : path_((std::filesystem::temp_directory_path() / "yarrowwood-scale-XXXXXX").string()) {
   if (::mkdtemp(path_.data()) == nullptr) throw std::system_error(errno, std::generic_category(), path_);
--- a/scale/meters.hpp
+++ b/scale/meters.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace yarrowwood::scale {
 
@@ -22,7 +23,8 @@
 
 // Processor time of one call, microseconds.
 double time_of(const std::function<void()>& work);
-// The median of so many results; 0 where there are none.
+double median(std::vector<double> all);  // 0 of none
+// Of so many results.
 double median_of(std::int64_t repetitions, const std::function<double()>& measure);
 
 // A folder of its own, gone with this.
--- a/scale/slopes.hpp
+++ b/scale/slopes.hpp
@@ -62,5 +62,6 @@
                          kRate = "messages a second";
 
 void module_slopes(Slopes& slopes);
+void journal_slopes(Slopes& slopes);
 
 }  // namespace yarrowwood::scale
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -119,7 +119,7 @@
       SlopesSettings all;
       all.repetitions = 1, all.down = 10;
       all.endpoints = all.messages = {200, 400, 800};
-      all.destinations_down = all.calls_out = all.recalled = {4, 8};
+      all.destinations_down = all.calls_out = all.recalled = all.batch = {4, 8};
       return all;
     }();
     return s;
@@ -137,5 +137,17 @@
   EXPECT_LT(module.line("memory, bytes", kMessages, "slope"), 350);
 }
 
+// A record holds the body once, names and numbers beside it; memory the body and the message's node.
+TEST(JournalSlopes, BytesOnDiskAndMemoryGrowInALineWithMessages) {
+  const Part journal(journal_slopes);
+  const double body = static_cast<double>(SlopesSettings().body_bytes);
+  for (const std::string cost : {"on disk, bytes", "memory, bytes"}) {
+    EXPECT_LT(journal.line(cost, kMessages, "residual"), 0.02) << cost;
+    EXPECT_GT(journal.line(cost, kMessages, "slope"), body) << cost;
+  }
+  EXPECT_LT(journal.line("on disk, bytes", kMessages, "slope"), body + 120);
+  EXPECT_LT(journal.line("memory, bytes", kMessages, "slope"), 2 * body + 600);
+}
+
 }  // namespace
 }  // namespace yarrowwood::scale
