Measure the reading of discovery's list, and where it is too long

The lines also tell at what size a limit is reached: 64 MB of memory, 10 s of a restart, the 4 MiB of a list that the relay reads.

--- a/scale/journal_slopes.cpp
+++ b/scale/journal_slopes.cpp
@@ -134,6 +134,9 @@
     }
     for (const auto& [cost, values] : all) out.add(cost, kMessages, n, median(values));
   }
+  out.reach("memory, bytes", kMessages, set.asked_memory_bytes);
+  out.reach("recovered, most memory, bytes", kMessages, set.asked_memory_bytes);
+  out.reach("recovered, us", kMessages, set.asked_restart_s * 1e6);
   for (const auto n : set.batch)
     out.add("commit, us", kBatch, n,
             median_of(set.repetitions, [&] { return commit_time(n, set.body_bytes); }));
--- a/scale/module_slopes.cpp
+++ b/scale/module_slopes.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <map>
 
+#include "catalogue.hpp"
 #include "cedarplank/dispatcher.hpp"
 #include "meters.hpp"
 #include "slopes.hpp"
@@ -27,17 +28,11 @@
   return s;
 }
 
-EndpointId endpoint_id(std::int64_t n) {
-  return "10." + std::to_string(n >> 16) + "." + std::to_string((n >> 8) & 255) + "." +
-         std::to_string(n & 255) + ":11203";
-}
-
 std::vector<Endpoint> endpoints(std::int64_t count, double per_destination) {
   std::vector<Endpoint> all(static_cast<std::size_t>(count));
   for (std::int64_t i = 0; i < count; i++) {
-    all[static_cast<std::size_t>(i)].id = endpoint_id(i);
-    all[static_cast<std::size_t>(i)].destination =
-        static_cast<std::int64_t>(static_cast<double>(i) / per_destination);
+    Endpoint& e = all[static_cast<std::size_t>(i)];
+    e.id = endpoint_name(i), e.destination = destination_of(i, per_destination);
   }
   return all;
 }
@@ -192,6 +187,8 @@
     out.add("learnt, written, us", kEndpoints, n,
             median_of(set.repetitions, [&] { return time_of([&] { load.dispatcher().learnt(); }); }));
   }
+  out.reach("memory, bytes", kEndpoints, set.asked_memory_bytes);
+  out.reach("memory, bytes", kMessages, set.asked_memory_bytes);
   for (const auto n : set.recalled) {
     Load load;
     load.list(endpoints(n, 1));
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -47,16 +47,25 @@
   e.read("asked_destinations", asked_destinations, 0, 1e12);
   e.read("asked_messages", asked_messages, 0, 1e12);
   e.read("asked_messages_per_s", asked_messages_per_s, 0, 1e12);
+  e.read("asked_memory_bytes", asked_memory_bytes, 0, 1e15);
+  e.read("asked_restart_s", asked_restart_s, 0, 1e6);
   e.read("list_limit_bytes", list_limit_bytes, 1, std::int64_t{1} << 40);
 }
 
 void Slopes::add(const std::string& cost, const std::string& of, std::int64_t size, double value) {
   report_.add({{"part", part_}, {"cost", cost}, {"of", of}, {"size", size}, {"measured", value}});
   progress(part_ + ": " + cost + " at " + std::to_string(size) + " " + of);
-  auto it = std::find_if(series_.begin(), series_.end(),
-                         [&](const Series& s) { return s.cost == cost && s.of == of; });
-  if (it == series_.end()) it = series_.insert(it, {cost, of, {}});
-  it->points.push_back({static_cast<double>(size), value});
+  series(cost, of).points.push_back({static_cast<double>(size), value});
+}
+
+Slopes::Series& Slopes::series(const std::string& cost, const std::string& of) {
+  const auto it = std::find_if(series_.begin(), series_.end(),
+                               [&](const Series& s) { return s.cost == cost && s.of == of; });
+  return it != series_.end() ? *it : series_.emplace_back(Series{cost, of, {}, 0});
+}
+
+void Slopes::reach(const std::string& cost, const std::string& of, double most) {
+  series(cost, of).most = most;
 }
 
 void Slopes::end() {
@@ -74,6 +83,15 @@
                  {"line_there", to > 0 ? line.at(to) : 0.0},
                  {"off_line_at", text_of(line.off_line_at)}});
   }
+  for (const auto& s : series_) {
+    if (s.most <= 0) continue;
+    const Line line = least_squares(s.points);
+    report_.add({{"part", part_},
+                 {"cost", s.cost},
+                 {"of", s.of},
+                 {"reaches", s.most},
+                 {"at", line.slope > 0 ? (s.most - line.intercept) / line.slope : 0.0}});
+  }
   series_.clear();
   progress("");
 }
--- a/scale/slopes.hpp
+++ b/scale/slopes.hpp
@@ -27,7 +27,7 @@
   Sizes batch{1, 8, 64, 512};             // records written by one commit
   // What a relay of the fleet is to bear; each line is followed to there. 0: not asked.
   double asked_endpoints = 323'000, asked_destinations = 190'000, asked_messages = 9.2e6;
-  double asked_messages_per_s = 208;
+  double asked_messages_per_s = 208, asked_memory_bytes = 64e6, asked_restart_s = 10;
   std::int64_t list_limit_bytes = 4 << 20;  // kMostList of relay/platform.cpp
 
   void read(Experiment& experiment);  // throws BadInput
@@ -41,6 +41,8 @@
   void begin(const std::string& part) { part_ = part; }
   // `cost` names its unit, as "round, us"; `of` is one of those below.
   void add(const std::string& cost, const std::string& of, std::int64_t size, double value);
+  // Also to be told with the lines: at what size this cost's reaches so much.
+  void reach(const std::string& cost, const std::string& of, double most);
   void end();
 
   const SlopesSettings& set;
@@ -49,7 +51,9 @@
   struct Series {
     std::string cost, of;
     std::vector<Point> points;
+    double most = 0;  // 0: not to be told
   };
+  Series& series(const std::string& cost, const std::string& of);
   Report& report_;
   std::string part_;
   std::vector<Series> series_;  // of this part
@@ -63,5 +67,6 @@
 
 void module_slopes(Slopes& slopes);
 void journal_slopes(Slopes& slopes);
+void list_slopes(Slopes& slopes);
 
 }  // namespace yarrowwood::scale
--- a/scale/slopes_command.cpp
+++ b/scale/slopes_command.cpp
@@ -13,7 +13,7 @@
   const char* name;
   void (*measure)(Slopes&);
 };
-const std::vector<Part> kParts{{"module", module_slopes}, {"journal", journal_slopes}};
+const std::vector<Part> kParts{{"module", module_slopes}, {"journal", journal_slopes}, {"list", list_slopes}};
 
 struct Arguments {
   std::string experiment, json;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -105,15 +105,19 @@
     slopes_.begin("part"), measure(slopes_), slopes_.end();
   }
   double line(const std::string& cost, const std::string& of, const std::string& column) const {
+    return find(cost, of, column);
+  }
+  double reached(const std::string& cost, const std::string& of) const { return find(cost, of, "at"); }
+
+ private:
+  double find(const std::string& cost, const std::string& of, const std::string& column) const {
     for (const Row& row : report_.rows())
-      if (row.size() > 5 && row[1].second == Value(cost) && row[2].second == Value(of))
+      if (row[1].second == Value(cost) && row[2].second == Value(of))
         for (const auto& [name, value] : row)
           if (name == column) return std::get<double>(value);
     ADD_FAILURE() << "no " << column << " of " << cost << ", " << of;
     return 0;
   }
-
- private:
   static const SlopesSettings& small() {
     static const SlopesSettings s = [] {
       SlopesSettings all;
@@ -149,5 +153,15 @@
   EXPECT_LT(journal.line("memory, bytes", kMessages, "slope"), 2 * body + 600);
 }
 
+TEST(ListSlopes, BytesGrowInALineAndTellWhereAListIsTooLong) {
+  const Part list(list_slopes);
+  EXPECT_LT(list.line("whole list, bytes", kEndpoints, "residual"), 0.02);
+  const double bytes = list.line("whole list, bytes", kEndpoints, "slope");
+  EXPECT_GT(bytes, 100);
+  EXPECT_LT(bytes, 200);
+  EXPECT_NEAR(list.reached("whole list, bytes", kEndpoints), (4 << 20) / bytes, 50);
+  EXPECT_LT(list.line("members, bytes", kEndpoints, "slope"), 400);
+}
+
 }  // namespace
 }  // namespace yarrowwood::scale
