Measure the relay's program against endpoints, messages held and their rate

The program runs among stand-ins on loopback sockets for discovery, endpoints and clients; processor time is read from the process's own clock, memory from its status. Costs that don't grow in a line are also followed by their exponent.

A list of 32,000 endpoints (4.2 MB) is too long for the relay, one of 31,000 is read: what the list part's line says.

--- a/scale/catalogue.cpp
+++ b/scale/catalogue.cpp
@@ -27,15 +27,16 @@
          R"(,"endpoints":[)" + entries + "]}";
 }
 
-std::string catalogue(std::int64_t endpoints, double per_destination) {
+std::string catalogue(std::int64_t endpoints, double per_destination, const std::string& address,
+                      std::int64_t index) {
   std::string entries;
   for (std::int64_t i = 0; i < endpoints; i++) {
+    const std::string own = "10." + std::to_string(i >> 16) + "." + std::to_string((i >> 8) & 255) + "." +
+                            std::to_string(i & 255) + ":8081";
     if (i > 0) entries += ',';
-    const std::string address = "10." + std::to_string(i >> 16) + "." + std::to_string((i >> 8) & 255) + "." +
-                                std::to_string(i & 255) + ":8081";
-    entries += entry(i, destination_of(i, per_destination), address);
+    entries += entry(i, destination_of(i, per_destination), address.empty() ? own : address);
   }
-  return list_of(entries, 41, true);
+  return list_of(entries, index, true);
 }
 
 }  // namespace yarrowwood::scale
--- a/scale/catalogue.hpp
+++ b/scale/catalogue.hpp
@@ -13,7 +13,8 @@
 std::string entry(std::int64_t n, std::int64_t destination, const std::string& address,
                   const std::string& status = "ready");
 std::string list_of(const std::string& entries, std::int64_t index, bool whole);
-// All ready, at addresses of their own.
-std::string catalogue(std::int64_t endpoints, double per_destination);
+// Whole, all ready, at this address or, where it is empty, at addresses of their own.
+std::string catalogue(std::int64_t endpoints, double per_destination, const std::string& address = "",
+                      std::int64_t index = 41);
 
 }  // namespace yarrowwood::scale
--- a/scale/journal_slopes.cpp
+++ b/scale/journal_slopes.cpp
@@ -7,6 +7,7 @@
 #include "journal.hpp"
 #include "meters.hpp"
 #include "slopes.hpp"
+#include "stored.hpp"
 
 namespace yarrowwood::scale {
 namespace {
@@ -16,18 +17,11 @@
 using heronvane::MessageId;
 using heronvane::Outcome;
 
-constexpr std::uint64_t kLimit = 1'000'000'000'000;  // bytes: never the one that is reached
 constexpr MessageId kCommit = 64;       // messages with one commit, where that is not what is varied
 constexpr std::int64_t kCommits = 100;  // of one size, together one measurement
 
 Message message(MessageId id, std::int64_t body_bytes) {
-  Message m;
-  m.id = std::to_string(1'000'000'000'000'000 + id);
-  m.message_class = "pay-and-order";
-  m.destination = static_cast<std::int64_t>(id % 190'000);
-  m.deadline = 4'000'000'000'000'000;
-  m.body = std::string(static_cast<std::size_t>(body_bytes), 'x');
-  return m;
+  return stored(id, static_cast<std::int64_t>(id % 190'000), body_bytes);
 }
 
 double file_bytes(const std::string& folder) {
@@ -42,12 +36,12 @@
     first();
     second();
   }
-  std::vector<std::pair<std::string, double>> costs;
+  Costs costs;
 
  private:
   void first() {
     const std::int64_t before = allocated().bytes;
-    Journal journal(folder_.path(), kLimit);
+    Journal journal(folder_.path(), kNoLimit);
     double committed = 0, taken = 0;
     for (MessageId first = 1; first <= messages_; first += kCommit) {
       std::vector<Message> batch;
@@ -80,7 +74,7 @@
     const std::int64_t before = allocated().bytes;
     mark_peak();
     std::optional<Journal> journal;
-    costs.emplace_back("recovered, us", time_of([&] { journal.emplace(folder_.path(), kLimit); }));
+    costs.emplace_back("recovered, us", time_of([&] { journal.emplace(folder_.path(), kNoLimit); }));
     costs.emplace_back("recovered, most memory, bytes", static_cast<double>(peak_bytes() - before));
     if (journal->held().size() != messages_) throw std::runtime_error("journal: not all was recovered");
     costs.emplace_back("over, us", each(*journal, [&](MessageId id) { journal->over(id); }));
@@ -107,7 +101,7 @@
 // Of one commit, the mean of many.
 double commit_time(std::int64_t records, std::int64_t body_bytes) {
   const ScratchFolder folder;
-  Journal journal(folder.path(), kLimit);
+  Journal journal(folder.path(), kNoLimit);
   double time = 0;
   MessageId id = 0;
   for (std::int64_t i = 0; i < kCommits; i++) {
@@ -124,16 +118,8 @@
 
 void journal_slopes(Slopes& out) {
   const auto& set = out.set;
-  for (const auto n : set.messages) {
-    std::vector<std::pair<std::string, std::vector<double>>> all;
-    for (std::int64_t i = 0; i < set.repetitions; i++) {
-      const Lives lives(n, set.body_bytes);
-      all.resize(lives.costs.size());
-      for (std::size_t k = 0; k < all.size(); k++)
-        all[k].first = lives.costs[k].first, all[k].second.push_back(lives.costs[k].second);
-    }
-    for (const auto& [cost, values] : all) out.add(cost, kMessages, n, median(values));
-  }
+  for (const auto n : set.messages)
+    out.add_medians(kMessages, n, [&] { return Lives(n, set.body_bytes).costs; });
   out.reach("memory, bytes", kMessages, set.asked_memory_bytes);
   out.reach("recovered, most memory, bytes", kMessages, set.asked_memory_bytes);
   out.reach("recovered, us", kMessages, set.asked_restart_s * 1e6);
--- a/scale/slopes_command.cpp
+++ b/scale/slopes_command.cpp
@@ -1,5 +1,8 @@
 // yarrowwood_scale slopes: arguments, and which parts are measured.
+#include <unistd.h>
+
 #include <algorithm>
+#include <filesystem>
 #include <iostream>
 #include <memory>
 
@@ -13,24 +16,33 @@
   const char* name;
   void (*measure)(Slopes&);
 };
-const std::vector<Part> kParts{{"module", module_slopes}, {"journal", journal_slopes}, {"list", list_slopes}};
+const std::vector<Part> kParts{
+    {"module", module_slopes}, {"journal", journal_slopes}, {"list", list_slopes}, {"relay", relay_slopes}};
 
 struct Arguments {
-  std::string experiment, json;
+  std::string experiment, json, relay;
   std::vector<std::string> only;
 };
 
+std::string beside_this_program() {
+  std::error_code bad;
+  return (std::filesystem::read_symlink("/proc/self/exe", bad).parent_path() / "heronvane").string();
+}
+
 void run(const Arguments& arguments) {
+  const auto wanted = [&](const char* name) {
+    const auto& only = arguments.only;
+    return only.empty() || std::find(only.begin(), only.end(), name) != only.end();
+  };
   SlopesSettings settings;
   Experiment experiment(arguments.experiment, "slopes");
   settings.read(experiment);
   experiment.finish();
+  settings.relay_program = arguments.relay.empty() ? beside_this_program() : arguments.relay;
+  if (wanted("relay") && ::access(settings.relay_program.c_str(), X_OK) != 0)
+    throw BadInput(settings.relay_program + ": not a program that can be run");
   Report report(arguments.json);
   Slopes slopes(report, settings);
-  const auto wanted = [&](const char* name) {
-    const auto& only = arguments.only;
-    return only.empty() || std::find(only.begin(), only.end(), name) != only.end();
-  };
   for (const auto& part : kParts) {
     if (!wanted(part.name)) continue;
     slopes.begin(part.name);
@@ -48,6 +60,8 @@
       app.add_subcommand("slopes", "The cost of each part against its size, with a line through it");
   command->add_option("--experiment", arguments->experiment, "TOML file; its table [slopes] is read");
   command->add_option("--json", arguments->json, "file for the results, a JSON line each");
+  command->add_option("--relay", arguments->relay,
+                      "the relay's program; else heronvane, in this one's folder");
   std::vector<std::string> names;
   for (const auto& part : kParts) names.emplace_back(part.name);
   command->add_option("--only", arguments->only, "parts to measure, instead of all")
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -98,6 +98,9 @@
   EXPECT_EQ(run("slopes --help").status, 0);
 }
 
+// Endpoints on either side of the longest list that a relay reads, 4 MiB.
+constexpr std::int64_t kMany = 31'000, kTooMany = 32'000;
+
 // A part at small sizes, measured once; the row of a line.
 class Part {
  public:
@@ -107,6 +110,7 @@
   double line(const std::string& cost, const std::string& of, const std::string& column) const {
     return find(cost, of, column);
   }
+  const std::vector<Row>& rows() const { return report_.rows(); }
   double reached(const std::string& cost, const std::string& of) const { return find(cost, of, "at"); }
 
  private:
@@ -124,6 +128,8 @@
       all.repetitions = 1, all.down = 10;
       all.endpoints = all.messages = {200, 400, 800};
       all.destinations_down = all.calls_out = all.recalled = all.batch = {4, 8};
+      all.watched = {kMany, kTooMany}, all.rates = {10, 20};
+      all.relay_program = HERONVANE_PROGRAM;
       return all;
     }();
     return s;
@@ -163,5 +169,17 @@
   EXPECT_LT(list.line("members, bytes", kEndpoints, "slope"), 400);
 }
 
+// The program itself: all messages are delivered (else the part throws), and the list ends where the tool
+// says.
+TEST(RelaySlopes, ARelayAmongStandInsReadsListsUpToItsLimit) {
+  const Part relay(relay_slopes);
+  EXPECT_EQ(relay.line("one change on the watch, bytes", kEndpoints, "slope"), 0);
+  EXPECT_EQ(relay.line("one change on the watch, bytes", kEndpoints, "residual"), 0);
+  std::vector<Value> too_long;
+  for (const Row& row : relay.rows())
+    if (row[1].second == Value("not ready, a list too long, bytes")) too_long.push_back(row[3].second);
+  EXPECT_EQ(too_long, std::vector<Value>{kTooMany});
+}
+
 }  // namespace
 }  // namespace yarrowwood::scale
