--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -1,8 +1,5 @@
 #include "fleet.hpp"
 
-#include <malloc.h>
-#include <time.h>
-
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -17,6 +14,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "meters.hpp"
+
 namespace yarrowwood::scale {
 
 using namespace cedarplank;
@@ -31,12 +30,6 @@
 Time micros(double s) { return static_cast<Time>(std::llround(s * kSecond)); }
 double seconds(Time t) { return static_cast<double>(t) / kSecond; }
 
-double processor_time() {
-  timespec t{};
-  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &t);
-  return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_nsec) * 1e-9;
-}
-
 // The standard's distributions differ between libraries; these give the same everywhere.
 class Chance {
  public:
@@ -201,7 +194,7 @@
   std::unordered_map<std::int64_t, std::vector<Endpoint>> news_;
   std::int64_t next_news_ = 0;
   Time restarted_at_ = kNever;
-  const std::size_t allocated_ = ::mallinfo2().uordblks;
+  const std::int64_t allocated_ = allocated().bytes;
   FleetResult result_;
 };
 
@@ -636,7 +629,7 @@
 }
 
 FleetResult Fleet::run() {
-  const double from = processor_time();
+  const double from = thread_time();
   // Past the last arrival until all messages are over.
   const Time end = micros(set_.length + set_.unsafe_deadline + 1);
   Time told = 0;
@@ -654,9 +647,8 @@
     result_.longest_overrun = std::max(result_.longest_overrun, d.longest_over);
     result_.overruns += d.longest_over > span + kOverrunMore;
   }
-  const auto more = static_cast<std::int64_t>(::mallinfo2().uordblks) - static_cast<std::int64_t>(allocated_);
-  result_.bytes_a_relay = more / set_.relays;
-  result_.processor_seconds_a_relay = (processor_time() - from) / set_.relays / seconds(now_);
+  result_.bytes_a_relay = (allocated().bytes - allocated_) / set_.relays;
+  result_.processor_seconds_a_relay = (thread_time() - from) / kSecond / set_.relays / seconds(now_);
   return result_;
 }
 
--- a/scale/fleet.hpp
+++ b/scale/fleet.hpp
@@ -65,7 +65,7 @@
   // its limit allows; and how many destinations had more than their window and 2 s of that.
   double longest_overrun = 0;
   std::int64_t overruns = 0;
-  // At the end, with what the emulator itself holds; of the first thread's allocations only.
+  // At the end, with what the emulator itself holds.
   std::int64_t bytes_a_relay = 0;
   double processor_seconds_a_relay = 0;  // for a second of virtual time
   std::uint64_t digest = 0;              // of all that happened, in order
--- a/scale/fleet_command.cpp
+++ b/scale/fleet_command.cpp
@@ -103,9 +103,9 @@
 
 double part(double of, double all) { return all > 0 ? of / all : 0; }
 
-Row row_of(std::int64_t relays, std::int64_t seed, const FleetResult& r, bool alone) {
+Row row_of(std::int64_t relays, std::int64_t seed, const FleetResult& r) {
   const auto n = [](std::int64_t v) { return static_cast<double>(v); };
-  Row row{{"relays", relays},
+  return {{"relays", relays},
           {"seed", seed},
           {"destinations", r.destinations},
           {"messages", r.messages},
@@ -123,10 +123,8 @@
           {"longest_overrun_s", r.longest_overrun},
           {"overruns", r.overruns},
           {"cpu_a_relay", r.processor_seconds_a_relay},
+          {"bytes_a_relay", r.bytes_a_relay},
           {"digest", std::to_string(r.digest)}};
-  // Only a run in the first thread can tell.
-  if (alone) row.emplace_back("bytes_a_relay", r.bytes_a_relay);
-  return row;
 }
 
 // The runs are independent of each other, and each of its thread: their order alone is not kept while they
@@ -168,7 +166,7 @@
   progress("");
   for (const auto& t : tasks) {
     if (!t.problem.empty()) throw BadInput(given.experiment + ": " + t.problem);
-    report.add(row_of(t.relays, t.seed, t.result, given.jobs == 1));
+    report.add(row_of(t.relays, t.seed, t.result));
   }
   std::cout << report.table();
 }
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -11,8 +11,9 @@
   constexpr int kBadInput = 2;
   CLI::App app{"Scale tests of the relay and its decision module", "yarrowwood_scale"};
   app.require_subcommand(1);
+  scale::add_fleet(app);
+  scale::add_slopes(app);
   try {
-    scale::add_fleet(app);
     app.parse(argc, argv);
     return 0;
   } catch (const CLI::ParseError& e) {
