--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -497,7 +497,10 @@
   e.latency = now_ - call.sent, e.closed = outcome == Outcome::served, e.told_wait = told_wait,
   e.report = report;
   Destination& d = destinations_[static_cast<std::size_t>(server.destination)];
-  if (outcome != Outcome::served && now_ >= d.down_from) d.told.insert(call.relay);
+  // As the rule has it: told of a call that failed or was refused there during the outage.
+  const Time reached = call.sent + delay(r, server);
+  const bool in_outage = d.fallen || (reached >= d.down_from && reached < d.back_at);
+  if (outcome != Outcome::served && in_outage) d.told.insert(call.relay);
   const auto held = r.held.find(call.message);
   if (held != r.held.end()) {
     held->second.attempts.at(static_cast<std::size_t>(call.attempt)).second = outcome;
