Close all endpoints of a thin target on as few signs as one of them

Traced by call and by log: ten of eleven pushes were by relays that had closed one of the two endpoints on their first failed connect; the other stayed open until three failures, which a relay that calls so seldom does not see, and was let through with the chance of let() every 3 s, by each of 30 relays. To blame: call_failed counts kCloseRun signs at all of them whatever few says, and let(). Change: at a thin target as few signs close all as close one, so the budget of trials holds for all; the check in let() goes. Where a limit was told, its share stands alone: a floor of three calls a second for each of two endpoints is twice a limit of 2.84.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -414,17 +414,11 @@
     if (tell || !own) t.told_at = now;
   }
   // Whether this attempt is let through; else the target is held for a while.
-  bool let(Target& t, const EndpointState& e) {
+  bool let(Target& t) {
     double share = let_through(t);
-    // An outage mostly takes all endpoints of a destination: a sibling is no way around what was met at one.
-    const auto met = [&](const EndpointState* s) {
-      return s->health == Health::closed && s->since > e.served_at;
-    };
-    const auto& siblings = destinations[e.info.destination].endpoints;
-    const bool outage = is_thin(t) && !e.apart && std::any_of(siblings.begin(), siblings.end(), met);
     // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
-    if (outage || (t.refusals >= 2 && set.relays > kFewRelays && share_of(t) == 0))
+    if (t.refusals >= 2 && set.relays > kFewRelays && share_of(t) == 0)
       share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
     if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
@@ -512,7 +506,7 @@
     const auto siblings =
         static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
     const double part = part_of(target_of(e)) / std::max(1.0, siblings);
-    return std::max({e.asked.at(now), part, kLeastCalls / set.relays});
+    return std::max({e.asked.at(now), part, part > 0 ? 0 : kLeastCalls / set.relays});
   }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
@@ -643,8 +637,10 @@
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
                : ev.outcome == Outcome::error        ? "errors"
                                                      : "silent");
-    // Endpoints that share a limit mostly go out together: as many signs at any of them as close one close all.
-    if (++target_of(e).failures < std::max(kCloseRun, chance) || e.apart) return;
+    // Endpoints that share a limit mostly go out together: as many signs at any of them as close one close
+    // all.
+    if (++target_of(e).failures < (is_thin(target_of(e)) ? few : std::max(kCloseRun, chance)) || e.apart)
+      return;
     for (auto* other : destinations[e.info.destination].endpoints)
       if (other->health == Health::open) other->fail_run++, close(*other, "its siblings fail");
   }
@@ -1068,7 +1064,7 @@
       if (when < kNever) wake_by(when);
       return false;
     }
-    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best), *best)) return false;
+    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best))) return false;
     send(m, *best);
     return true;
   }
