--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -177,7 +177,7 @@
   Time wait_until = 0;  // told wait
   double limit = 0;     // calls a second that it takes of all relays together, as told; 0: not told
   Rate served;
-  int refusals = 0;  // since the last serve
+  int refusals = 0, failures = 0;  // since the last serve
   std::size_t kind = 0;
   template <class F>
   void each(F&& f) {
@@ -414,17 +414,11 @@
     if (tell || !own) t.told_at = now;
   }
   // Whether this attempt is let through; else the target is held for a while.
-  bool let(Target& t, const EndpointState& e) {
+  bool let(Target& t) {
     double share = let_through(t);
-    // An outage mostly takes all endpoints of a destination: a sibling is no way around what was met at one.
-    const auto met = [&](const EndpointState* s) {
-      return s->health == Health::closed && s->since > e.served_at;
-    };
-    const auto& siblings = destinations[e.info.destination].endpoints;
-    const bool outage = is_thin(t) && !e.apart && std::any_of(siblings.begin(), siblings.end(), met);
     // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
-    if (outage || (t.refusals >= 2 && set.relays > kFewRelays && share_of(t) == 0))
+    if (t.refusals >= 2 && set.relays > kFewRelays && share_of(t) == 0)
       share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
     if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
@@ -512,7 +506,7 @@
     const auto siblings =
         static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
     const double part = part_of(target_of(e)) / std::max(1.0, siblings);
-    return std::max({e.asked.at(now), part, kLeastCalls / set.relays});
+    return std::max({e.asked.at(now), part, part > 0 ? 0 : kLeastCalls / set.relays});
   }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
@@ -554,7 +548,7 @@
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
     t.served.add(now), e.served.add(now);
     learn_refusal(t, 1), thin_learn(t, false);
-    t.refusals = 0;
+    t.refusals = t.failures = 0;
     e.latency += kLatencyGain * (seconds(latency) - e.latency);
     if (e.usual == 0) e.usual = seconds(latency);
     slowness += kSlownessGain * (std::min(seconds(latency) / std::max(e.usual, 1e-3), kMostSlow) - slowness);
@@ -643,6 +637,12 @@
       close(e, ev.outcome == Outcome::connect_failed ? "no connection"
                : ev.outcome == Outcome::error        ? "errors"
                                                      : "silent");
+    // Endpoints that share a limit mostly go out together: as many signs at any of them as close one close
+    // all.
+    if (++target_of(e).failures < (is_thin(target_of(e)) ? few : std::max(kCloseRun, chance)) || e.apart)
+      return;
+    for (auto* other : destinations[e.info.destination].endpoints)
+      if (other->health == Health::open) other->fail_run++, close(*other, "its siblings fail");
   }
   // Guards against unsafe messages lost in silence: a fresh connection fails provably, an old one doesn't.
   void drop_idle(EndpointState& e) {
@@ -1064,7 +1064,7 @@
       if (when < kNever) wake_by(when);
       return false;
     }
-    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best), *best)) return false;
+    if (!room_in_call(*best) && best->health == Health::open && !let(target_of(*best))) return false;
     send(m, *best);
     return true;
   }
