Add a fleet's results as its runs end, and check settings before the first

A run that is stopped leaves what it measured; an exception in a thread ends the tool with its message.

--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -203,12 +203,6 @@
 }
 
 void Fleet::build() {
-  need(set_.relays >= 1, "relays: must be 1 or more");
-  need(set_.destinations_per_relay >= 1 && set_.most_destinations >= 1, "destinations: must be 1 or more");
-  need(set_.limit > 0 && set_.load > 0, "limit and load: must be above 0");
-  need(set_.burst_from >= set_.burst_to || set_.burst_load > 0, "burst_load: must be above 0");
-  need(set_.warm_up < set_.length, "warm_up: must be under length");
-  need(set_.zones >= 1, "zones: must be 1 or more");
   const int all = std::min(set_.relays * set_.destinations_per_relay, set_.most_destinations);
   destinations_.resize(static_cast<std::size_t>(all));
   for (int i = 0; i < all; i++) {
@@ -657,7 +651,17 @@
 
 }  // namespace
 
+void validate(const FleetSettings& s) {
+  need(s.relays >= 1, "relays: must be 1 or more");
+  need(s.destinations_per_relay >= 1 && s.most_destinations >= 1, "destinations: must be 1 or more");
+  need(s.limit > 0 && s.load > 0, "limit and load: must be above 0");
+  need(s.burst_from >= s.burst_to || s.burst_load > 0, "burst_load: must be above 0");
+  need(s.warm_up < s.length, "warm_up: must be under length");
+  need(s.zones >= 1, "zones: must be 1 or more");
+}
+
 FleetResult run_fleet(const FleetSettings& settings, const std::function<void(double)>& progress) {
+  validate(settings);
   return Fleet(settings, progress).run();
 }
 
--- a/scale/fleet.hpp
+++ b/scale/fleet.hpp
@@ -71,7 +71,10 @@
   std::uint64_t digest = 0;              // of all that happened, in order
 };
 
-// Throws std::invalid_argument where the settings make no sense. `progress` hears of each virtual second.
+// Throws std::invalid_argument naming the setting that makes no sense.
+void validate(const FleetSettings& settings);
+
+// Throws as validate() does. `progress` hears of each virtual second.
 FleetResult run_fleet(
     const FleetSettings& settings, const std::function<void(double second)>& progress = [](double) {});
 
--- a/scale/fleet_command.cpp
+++ b/scale/fleet_command.cpp
@@ -1,7 +1,8 @@
 // `fleet`: the experiment file and the arguments, one run for each number of relays and seed.
 #include <algorithm>
-#include <atomic>
+#include <exception>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -96,6 +97,11 @@
                                                        {"uneven", &s.uneven}};
   for (const auto& [key, value] : from_zero) file.read(key, *value, 0, kMostRate);
   file.finish();
+  try {
+    validate(s);
+  } catch (const std::invalid_argument& e) {
+    throw BadInput((given.experiment.empty() ? "" : given.experiment + ": ") + "fleet: " + e.what());
+  }
   if (!given.relays.empty()) plan.relays = given.relays;
   if (!given.seeds.empty()) plan.seeds = given.seeds;
   return plan;
@@ -127,36 +133,45 @@
           {"digest", std::to_string(r.digest)}};
 }
 
-// The runs are independent of each other, and each of its thread: their order alone is not kept while they
-// are under way, so the rows are added when all are there.
+// The runs are independent of each other, and each of its thread; a row is added once all before it are
+// there, so the order does not hang on the threads either.
 void run(const Arguments& given) {
   const Plan plan = read_plan(given);
   Report report(given.json);
-  struct Task {
-    std::int64_t relays, seed;
-    FleetResult result;
-    std::string problem;
-  };
-  std::vector<Task> tasks;
+  std::vector<std::pair<std::int64_t, std::int64_t>> tasks;  // relays and seed
   for (const auto relays : plan.relays)
-    for (const auto seed : plan.seeds) tasks.push_back({relays, seed, {}, {}});
-  std::atomic<std::size_t> next{0}, done{0};
-  std::mutex talking;
+    for (const auto seed : plan.seeds) tasks.emplace_back(relays, seed);
+  std::mutex lock;  // of all that follows
+  std::size_t next = 0;
+  std::map<std::size_t, FleetResult> ended;
+  std::exception_ptr problem;
+  const auto play = [&](std::size_t i) {
+    FleetSettings s = plan.settings;
+    s.relays = static_cast<int>(tasks[i].first), s.seed = static_cast<std::uint64_t>(tasks[i].second);
+    const std::string name = "run " + std::to_string(i + 1) + " of " + std::to_string(tasks.size()) + ", " +
+                             std::to_string(s.relays) + " relays, seed " + std::to_string(s.seed) + ": ";
+    return run_fleet(s, [&](double second) {
+      const std::lock_guard held(lock);
+      progress(name + std::to_string(static_cast<int>(second)) + " s");
+    });
+  };
   const auto work = [&] {
-    for (std::size_t i = next++; i < tasks.size(); i = next++) {
-      FleetSettings s = plan.settings;
-      s.relays = static_cast<int>(tasks[i].relays), s.seed = static_cast<std::uint64_t>(tasks[i].seed);
+    std::unique_lock held(lock);
+    while (next < tasks.size() && !problem) {
+      const std::size_t i = next++;
+      held.unlock();
+      std::exception_ptr failed;
+      FleetResult result;
       try {
-        tasks[i].result = run_fleet(s, [&](double second) {
-          const std::lock_guard lock(talking);
-          progress(std::to_string(done) + " of " + std::to_string(tasks.size()) + " runs; " +
-                   std::to_string(s.relays) + " relays, seed " + std::to_string(s.seed) + ": " +
-                   std::to_string(static_cast<int>(second)) + " s");
-        });
-      } catch (const std::invalid_argument& e) {
-        tasks[i].problem = e.what();
+        result = play(i);
+      } catch (...) {
+        failed = std::current_exception();
       }
-      done++;
+      held.lock();
+      if (failed) problem = failed;
+      ended[i] = result;
+      for (auto row = report.rows().size(); ended.count(row) > 0 && !problem; row++)
+        report.add(row_of(tasks[row].first, tasks[row].second, ended.at(row)));
     }
   };
   std::vector<std::thread> threads;
@@ -164,10 +179,7 @@
   work();
   for (auto& t : threads) t.join();
   progress("");
-  for (const auto& t : tasks) {
-    if (!t.problem.empty()) throw BadInput(given.experiment + ": " + t.problem);
-    report.add(row_of(t.relays, t.seed, t.result));
-  }
+  if (problem) std::rethrow_exception(problem);
   std::cout << report.table();
 }
 
