Leave open a sibling that has answered since the failed call was sent

Read: call_failed closes all endpoints of a destination after three failures with no serve between as they are told; calls that were out together at one silent endpoint are told together, seconds after a sibling has answered others sent later than they. Change: a sibling that served since the failed call was sent stays as it is. The new test of Shut fails without it (2 avoided for 1).

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -643,7 +643,9 @@
     const bool soon = is_thin(target_of(e)) || (silent && set.relays > kFewRelays);
     if (++target_of(e).failures < (soon ? few : std::max(kCloseRun, chance)) || e.apart) return;
     for (auto* other : destinations[e.info.destination].endpoints)
-      if (other->health == Health::open) other->fail_run++, close(*other, "its siblings fail");
+      // One that has answered since this call was sent is at work.
+      if (other->health == Health::open && other->served_at <= now - ev.latency)
+        other->fail_run++, close(*other, "its siblings fail");
   }
   // Guards against unsafe messages lost in silence: a fresh connection fails provably, an old one doesn't.
   void drop_idle(EndpointState& e) {
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -285,6 +285,20 @@
   EXPECT_GE(r.out.size(), 1u);
   EXPECT_LE(r.out.size(), 2u);
 }
+// Silence is told late: what a sibling has answered since says more of it.
+TEST(Shut, ASiblingThatAnsweredSinceTheFailedCallsWereSentStaysOpen) {
+  Relay r;
+  r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
+  for (int i = 0; i < 8; i++) r.arrive(kSafe);
+  const std::vector<Sent> all = r.out;
+  r.run_to(r.now + 500 * kMs);
+  for (const auto& s : all)
+    if (s.endpoint == "b") r.end(s.id, Outcome::served);
+  ASSERT_GE(r.sends_between(0, r.now, "a"), 3);
+  for (const auto& s : all)
+    if (s.endpoint == "a") r.end(s.id, Outcome::reset);
+  EXPECT_EQ(r.avoided(), 1u);
+}
 TEST(Shut, ThePaceCutByItsRefusalsRecovers) {
   auto s = plain();
   s.cold = 4 * kS;
@@ -923,7 +937,8 @@
   return s;
 }
 
-// What the agent beside the relay has counts as told: it is asked in the first round, and again in that of a loss.
+// What the agent beside the relay has counts as told: it is asked in the first round, and again in that of a
+// loss.
 TEST(PushedList, IsAskedForAtOnceHoweverManyRelaysThereAre) {
   for (std::uint64_t seed = 1; seed <= 20; seed++) {
     Relay r(pushed(), seed);
@@ -940,8 +955,8 @@
   }
 }
 
-// Through an outage it is asked often enough to hear of a drain within its grace, however long it lasts; and an
-// agent whose every list can't be read is not asked in each round.
+// Through an outage it is asked often enough to hear of a drain within its grace, however long it lasts; and
+// an agent whose every list can't be read is not asked in each round.
 TEST(PushedList, IsAskedForOftenThroughAnOutage) {
   Relay r(pushed());
   r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
@@ -978,8 +993,8 @@
   }
 }
 
-// Where relays ask, what discovery has to tell binds 6 s later though it did not arrive, and no sooner than that
-// after silence: no spread may be longer, however many relays there are.
+// Where relays ask, what discovery has to tell binds 6 s later though it did not arrive, and no sooner than
+// that after silence: no spread may be longer, however many relays there are.
 TEST(AskedList, IsNeverOlderThanWhatCountsAsTold) {
   auto s = pushed();
   s.pushed = false;
