--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -157,7 +157,6 @@
     const double warm = seconds(now_ - d.back_at) / set_.cold;
     return d.capacity * std::min(1.0, set_.cold_from + (1 - set_.cold_from) * std::max(0.0, warm));
   }
-  double allowed(const Destination& d) const { return d.windowed ? d.rate * d.window : d.rate * d.depth; }
   double left(Destination& d);
   std::optional<Time> take(Destination& d);
   Report report(Destination& d);
