--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -285,6 +285,18 @@
   EXPECT_GE(r.out.size(), 1u);
   EXPECT_LE(r.out.size(), 2u);
 }
+// A relay with a call in minutes there sees no second failure before its retry at the sibling.
+TEST(Shut, OneFailedConnectClosesAllEndpointsOfAThinTarget) {
+  auto s = plain();
+  s.relays = 300, s.weights = WeightKind::rough;
+  Relay r(s);
+  r.list({{.id = "a", .destination = 1, .weight = 3}, {.id = "b", .destination = 1, .weight = 3}});
+  r.run_to(r.now + 60 * kS);  // long enough to know that it calls seldom
+  const auto id = r.arrive(kSafe);
+  r.run_to(r.now + 1 * kS);
+  r.end(id, Outcome::connect_failed);
+  EXPECT_EQ(r.avoided(), 2u);
+}
 // Silence is told late: what a sibling has answered since says more of it.
 TEST(Shut, ASiblingThatAnsweredSinceTheFailedCallsWereSentStaysOpen) {
   Relay r;
