--- a/include/cedarplank/dispatcher.hpp
+++ b/include/cedarplank/dispatcher.hpp
@@ -67,12 +67,14 @@
   bool probes = false;
   bool peers = false;
   bool subscribe = false;  // list changes come only to those that subscribed
-  // What discovery has sent to this relay's machine counts as told, asked for or not; asking there costs nothing.
+  // What discovery has sent to this relay's machine counts as told, asked for or not; asking there costs
+  // nothing.
   bool pushed = false;
-  // Else: so long a call for the list waits for its answer, and a watch for the next word, before either is lost.
-  // What was missed counts as told 6 s after it happened or the watch fell silent: the gaps fill what is left.
+  // Else: so long a call for the list waits for its answer, and a watch for the next word, before either is
+  // lost. What was missed counts as told 6 s after it happened or the watch fell silent: the gaps fill what
+  // is left.
   Time ask_patience = 2'000'000, watch_patience = 3'500'000;
-  Time tick = 1'000;       // least time between rounds
+  Time tick = 1'000;  // least time between rounds
   Time connect_timeout = 1'000'000;
   Time connection_idle = 10'000'000;  // idle connections close by themselves after this
   Time retry_after_max = 0;           // longest advised absence that a client obeys
@@ -142,13 +144,14 @@
 struct Recovered {
   Arrival message;   // time_left may be below 0
   int attempts = 0;  // made so far; further ones count on from there
-  // Where one of them may have run (also one whose outcome was never seen): the first such, and when it was sent, by
-  // the clock of handle(): a time before this life may be below 0.
+  // Where one of them may have run (also one whose outcome was never seen): the first such, and when it was
+  // sent, by the clock of handle(): a time before this life may be below 0.
   std::optional<int> may_have_run_zone;
   Time may_have_run_sent = 0;
   std::optional<CallOut> out;  // its end is still to be told
 };
-// What an earlier life on the same clock had learnt, by its learnt(); after the list. What can't be read is left.
+// What an earlier life on the same clock had learnt, by its learnt(); after the list. What can't be read is
+// left.
 struct Recalled {
   std::string learnt;
 };
@@ -185,10 +188,9 @@
 };
 }  // namespace event
 
-using Event =
-    std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival, event::Recovered,
-                 event::AttemptEnded, event::Withdrawn, event::TimerDue, event::ProbeEnded, event::PeerNote,
-                 event::Suspended, event::Recalled>;
+using Event = std::variant<event::ListWhole, event::ListChanges, event::ListFailed, event::Arrival,
+                           event::Recovered, event::AttemptEnded, event::Withdrawn, event::TimerDue,
+                           event::ProbeEnded, event::PeerNote, event::Suspended, event::Recalled>;
 
 namespace action {
 // Attempts of a message count from 0 in the order of their sends.
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -22,7 +22,15 @@
 // A file is this line, then frames: length and CRC-32 of the payload (4 bytes each), the payload.
 // Payload: kind (1 byte), message number (8), fields.
 const std::string kMagic = "heronvane journal 1\n";
-enum Kind : char { kTake = 'T', kSent = 'S', kOutcome = 'O', kEnding = 'E', kOver = 'X', kSuspend = 'H', kKeys = 'K' };
+enum Kind : char {
+  kTake = 'T',
+  kSent = 'S',
+  kOutcome = 'O',
+  kEnding = 'E',
+  kOver = 'X',
+  kSuspend = 'H',
+  kKeys = 'K'
+};
 constexpr MessageId kNoMessage = 0;  // stands in records that are of none
 constexpr std::uint64_t kFrame = 8;
 constexpr std::uint32_t kMostPayload = 1 << 20;
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -15,8 +15,8 @@
 namespace net = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using cedarplank::event::Loss;
 using boost::system::error_code;
+using cedarplank::event::Loss;
 using tcp = net::ip::tcp;
 
 namespace {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -29,7 +29,8 @@
 constexpr auto kDrainLook = std::chrono::milliseconds(20);
 
 // An empty line comes on a watch so often.
-constexpr std::chrono::microseconds kHeartbeat = std::chrono::seconds(2), kMostGrace = std::chrono::seconds(2);
+constexpr std::chrono::microseconds kHeartbeat = std::chrono::seconds(2),
+                                    kMostGrace = std::chrono::seconds(2);
 // The platform answers a notice at once; a message whose notice is 300 ms late is lost.
 constexpr std::chrono::microseconds kNoticeAnswer = std::chrono::milliseconds(75);
 
@@ -91,8 +92,7 @@
       dispatcher_(config.settings, config.seed),
       calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
       platform_(
-          io, config.discovery, config.names, patience(config.settings),
-          known_to(config, possession_).index,
+          io, config.discovery, config.names, patience(config.settings), known_to(config, possession_).index,
           [this](MemberList list) { listed(std::move(list)); },
           [this](event::Loss why) { happened(event::ListFailed{why}); },
           [this](const std::vector<MessageId>& ids) {
@@ -384,8 +384,13 @@
       endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
   const auto& kinds = config_.settings.kinds;
   const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
-  Outgoing one{a.id, static_cast<int>(h.attempts.size()), a.timeout, h.message.id, h.message.body,
-               h.message.key, h.message.deadline - wall_now() - 2 * config_.settings.tick};
+  Outgoing one{a.id,
+               static_cast<int>(h.attempts.size()),
+               a.timeout,
+               h.message.id,
+               h.message.body,
+               h.message.key,
+               h.message.deadline - wall_now() - 2 * config_.settings.tick};
   if (a.begin > 0) one.begin_by = last_round_ + a.begin;
   journal_.sent(a.id, wall_now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
--- a/relay/request.cpp
+++ b/relay/request.cpp
@@ -75,7 +75,8 @@
   const auto cls = names.classes.find(std::string(path));
   if (cls == names.classes.end()) return refuse(404, "unknown class");
   if (request.method() != http::verb::post) return refuse(405, "unknown method");
-  for (const char* once : {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Consignee", "Idempotency-Key"})
+  for (const char* once :
+       {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Consignee", "Idempotency-Key"})
     if (request.count(once) > 1) return refuse(400, "a field stands twice");
   const auto named = request["X-Class"], tenant = request["X-Tenant"];
   if (!named.empty() && named != path) return refuse(400, "two classes");
@@ -97,7 +98,8 @@
   h.message.deadline = wall_now() + *left;
   h.message.key = std::string(key);
   // What a message of a class in order is about stands behind the class in its path.
-  if (settings.classes[static_cast<std::size_t>(cls->second)].ordered) h.message.order_key = std::string(rest);
+  if (settings.classes[static_cast<std::size_t>(cls->second)].ordered)
+    h.message.order_key = std::string(rest);
   h.message.repeat = request["X-Retry"] == "1";
   h.message.body = std::move(request.body());
   return h;
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -42,7 +42,8 @@
   Calls calls{io, limits(), [this](const AttemptEnded& e) { ended.push_back(e); }};
 };
 
-// A message that was told as ended is sent again, so its call must be over by then: else a second copy is out.
+// A message that was told as ended is sent again, so its call must be over by then: else a second copy is
+// out.
 TEST_F(CallsTest, AMessageGivenUpInABundleIsOutUntilTheCallEnds) {
   calls.send("s-1", {message(1, kLong), message(2, kLong)});
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
@@ -70,8 +71,8 @@
   EXPECT_EQ(ended[1].outcome, Outcome::full);
 }
 
-// The answer to a bundle one of whose messages is over delivers none of them, whatever it says: none may be taken as
-// delivered by it, so none is waited for any longer.
+// The answer to a bundle one of whose messages is over delivers none of them, whatever it says: none may be
+// taken as delivered by it, so none is waited for any longer.
 TEST_F(CallsTest, ABundleIsGivenUpWhenTheFirstOfItsMessagesIsOver) {
   auto first = message(1, kLong);
   first.left = kSoon;
@@ -92,9 +93,9 @@
   EXPECT_GE(ended[0].latency, 3 * kSoon);
 }
 
-// A repeat whose key is forgotten while its connection comes up would run a second time: it stays out of the call, which
-// goes on with the rest. The endpoint lets no connection come up until then: the one place for those it has not
-// taken yet is taken.
+// A repeat whose key is forgotten while its connection comes up would run a second time: it stays out of the
+// call, which goes on with the rest. The endpoint lets no connection come up until then: the one place for
+// those it has not taken yet is taken.
 TEST_F(CallsTest, ARepeatWhoseTimeEndsBeforeItsConnectionIsUpIsNotSent) {
   tcp::acceptor full(io, tcp::v4());
   full.bind({net::ip::make_address(own_address()), 0});
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -239,7 +239,8 @@
   }
 }
 
-// What is set aside for a message is the length of its own records, whatever it holds, and the same for those to come.
+// What is set aside for a message is the length of its own records, whatever it holds, and the same for those
+// to come.
 TEST_F(JournalTest, TheCostOfAMessageIsTheLengthOfItsRecords) {
   Message bare, keyed = message("a"), ordered = message("long id", 5000);
   keyed.key = "key", ordered.order_key = "about";
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,4 +1,5 @@
-// The list of endpoints: the stream alone against a fake agent, then the program with a list of an earlier life.
+// The list of endpoints: the stream alone against a fake agent, then the program with a list of an earlier
+// life.
 #include "platform.hpp"
 
 #include "relay_harness.hpp"
@@ -64,7 +65,8 @@
   }
   static std::string list(int index) {
     return "{\n  \"index\": " + std::to_string(index) +
-           ",\n  \"snapshot\": false,\n  \"endpoints\": [\n    {\n      \"name\": \"s-1\",\n      \"address\": "
+           ",\n  \"snapshot\": false,\n  \"endpoints\": [\n    {\n      \"name\": \"s-1\",\n      "
+           "\"address\": "
            "\"127.0.0.1:1\",\n      \"group\": 7,\n      \"status\": \"draining\"\n    }\n  ]\n}\n";
   }
 
@@ -123,8 +125,8 @@
   EXPECT_EQ(lists[0].index, 3);
 }
 
-// After a move the whole list is asked for where changes came alone; should that fail, it is due no later than what a
-// silent watch missed, not after the gap that follows a watch that has just broken.
+// After a move the whole list is asked for where changes came alone; should that fail, it is due no later
+// than what a silent watch missed, not after the gap that follows a watch that has just broken.
 TEST_F(PlatformTest, AWholeListThatDoesNotComeAfterAMoveIsAskedForSoon) {
   Server moved(io, [this](const Got& g) { asked.push_back(g); });
   begin(kLong, kLong);
@@ -139,8 +141,9 @@
   EXPECT_EQ(lost, (std::vector<Loss>{Loss::moved, Loss::silent}));
 }
 
-// A kept connection falls silent just as a notice is written to it: it goes on a new one, long before the second
-// after which its message would be lost. A try counts for nothing where the machine stood still meanwhile.
+// A kept connection falls silent just as a notice is written to it: it goes on a new one, long before the
+// second after which its message would be lost. A try counts for nothing where the machine stood still
+// meanwhile.
 TEST_F(PlatformTest, ANoticeOnAConnectionThatFellSilentGoesOnANewOne) {
   bool in_time = false;
   for (int tries = 0; tries < 20 && !in_time; tries++) {
@@ -179,8 +182,8 @@
   }
 };
 
-// While a process was down its endpoint was announced as leaving. What it finds taken on waits for the agent's
-// list. Told within its hold, that is: a machine too slow for that shows in the log and plays again.
+// While a process was down its endpoint was announced as leaving. What it finds taken on waits for the
+// agent's list. Told within its hold, that is: a machine too slow for that shows in the log and plays again.
 TEST_F(OldListTest, NothingIsSentByItBeforeTheAgentsListHasCome) {
   Server other(io, answer_ok);
   for (int tries = 0; tries < 50; tries++) {
@@ -215,27 +218,27 @@
   wait_for([&] { return platform.got.size() >= 3; }, "the agent is asked on");
 }
 
-// The configuration moves discovery while the first call for the list is still unanswered: it is asked for at the new
-// address at once, and what the old one says then is not taken.
+// The configuration moves discovery while the first call for the list is still unanswered: it is asked for at
+// the new address at once, and what the old one says then is not taken.
 TEST_F(OldListTest, AMoveThatCrossesTheFirstCallForTheListIsFollowed) {
   Server other(io, answer_ok);
-  Server moved(io, [&](const Got& g) {
-    g.session->write(kHead + chunk(list(member("s-2", other.address()))));
-  });
+  Server moved(io,
+               [&](const Got& g) { g.session->write(kHead + chunk(list(member("s-2", other.address())))); });
   platform.on_request(stay_silent);
   start();
   wait_for([&] { return !platform.got.empty(); }, "the first call");
   const auto first = platform.got[0].session;
   reload(config(moved.address()));
-  wait_for([&] { return logged().find("whole, 1 endpoints") != std::string::npos; }, "the new address's list");
+  wait_for([&] { return logged().find("whole, 1 endpoints") != std::string::npos; },
+           "the new address's list");
   first->write(kHead + chunk(list(member("s-1", endpoint.address()))));
   EXPECT_EQ(hand_in("m1", "load-status"), 202u);
   wait_for([&] { return !other.got.empty() || !endpoint.got.empty(); }, "the call");
   EXPECT_TRUE(endpoint.got.empty()) << "the new list does not name it";
 }
 
-// Through an outage the agent takes calls and says nothing. What it has at its return binds at once, so the call that
-// meets it there brings it.
+// Through an outage the agent takes calls and says nothing. What it has at its return binds at once, so the
+// call that meets it there brings it.
 TEST_F(OldListTest, WhatTheAgentHasAtItsReturnIsAskedForSoon) {
   Server other(io, answer_ok);
   start();
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -168,15 +168,12 @@
     return R"({"Classes":[{"Name":"load-status","Points":1.0,"Target":1000000,"Deadline":6000000,)"
            R"("Idempotency":"read_like"},{"Name":"pay-and-order","Points":3.0,"Target":2000000,)"
            R"("Deadline":24000000,"Idempotency":"non_idempotent","LateWorth":0.3})" +
-           more_classes + R"(],"FamilyInfo":{"Workers":)" +
-           std::to_string(workers) +
+           more_classes + R"(],"FamilyInfo":{"Workers":)" + std::to_string(workers) +
            R"(,"BundleMax":[20,1],"RoutesApart":[true,false],"Decay":"halves"},)"
            R"("HostTypes":["big","small"],"FailureDomains":["a","b"],"Locality":"a",)"
            R"("Limits":{"OpenCap":40,"MaxAttempts":8,"Cancelling":true,"Peers":true,"ConnIdle":5000000,)"
            R"("ConnectTimeout":1500000,"MaxRetryAfter":2000000},"Discovery":")" +
-           list_mode +
-           R"(","GroupSize":)" +
-           std::to_string(relays) +
+           list_mode + R"(","GroupSize":)" + std::to_string(relays) +
            R"(,)"
            R"("Rules":{"AnswerSlack":20000,"DrainGrace":1000000,"MustAskIn":10000000},"Tick":5000})";
   }
