--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -7,9 +7,24 @@
 #include <algorithm>
 #include <optional>
 
-#include "settings.hpp"
+#include "settings_reader.hpp"
+
+namespace simulator_adapter {
+
+using namespace configuration;
+namespace action = dispatch::action;
+namespace event = dispatch::event;
+using dispatch::Action;
+using dispatch::Dispatcher;
+using dispatch::Endpoint;
+using dispatch::Event;
+using dispatch::Listing;
+using dispatch::MessageId;
+using dispatch::Outcome;
+using dispatch::Report;
+using dispatch::Settings;
+using dispatch::Time;
 
-namespace cedarplank::adapter {
 namespace {
 
 using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
@@ -299,4 +314,4 @@
   return false;
 }
 
-}  // namespace cedarplank::adapter
+}  // namespace simulator_adapter
--- a/adapter/codec.hpp
+++ b/adapter/codec.hpp
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "cedarplank/dispatcher.hpp"
-#include "fields.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "json_fields.hpp"
 
-namespace cedarplank::adapter {
+namespace simulator_adapter {
 
 class Codec {
  public:
@@ -28,4 +28,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace cedarplank::adapter
+}  // namespace simulator_adapter
--- a/adapter/main.cpp
+++ b/adapter/main.cpp
@@ -1,4 +1,4 @@
-// cedarplank_adapter: reads batches of the simulator's wire, answers each with one flush.
+// simulator_adapter: reads batches of the simulator's wire, answers each with one flush.
 #include <iostream>
 #include <string>
 
@@ -7,13 +7,13 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  cedarplank::adapter::Codec codec;
+  simulator_adapter::Codec codec;
   std::string line, reply;
   for (std::size_t number = 1; std::getline(std::cin, line); number++) {
     try {
       if (line.empty() || !codec.take(line, reply)) continue;
     } catch (const std::exception& e) {
-      std::cerr << "cedarplank_adapter: line " << number << ": " << e.what() << std::endl;
+      std::cerr << "simulator_adapter: line " << number << ": " << e.what() << std::endl;
       return 1;
     }
     std::cout << reply << std::flush;
--- a/adapter/fields.hpp
+++ b/configuration/json_fields.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <utility>
 
-namespace cedarplank::adapter {
+namespace configuration {
 
 // What is wrong with a message, and where in it.
 class WireError : public std::runtime_error {
@@ -88,4 +88,4 @@
   malformed(path, ("unknown word '" + text + "'").c_str());
 }
 
-}  // namespace cedarplank::adapter
+}  // namespace configuration
--- a/adapter/settings.cpp
+++ b/configuration/settings_reader.cpp
@@ -1,8 +1,16 @@
-#include "settings.hpp"
+#include "settings_reader.hpp"
 
 #include <algorithm>
 
-namespace cedarplank::adapter {
+namespace configuration {
+
+using dispatch::ClassSettings;
+using dispatch::Decay;
+using dispatch::Effect;
+using dispatch::KeyGroup;
+using dispatch::Settings;
+using dispatch::WeightKind;
+
 namespace {
 
 Names names_of(const Value& object, const char* name, const std::string& path) {
@@ -117,4 +125,4 @@
   return s;
 }
 
-}  // namespace cedarplank::adapter
+}  // namespace configuration
--- a/adapter/settings.hpp
+++ b/configuration/settings_reader.hpp
@@ -4,10 +4,10 @@
 #include <string>
 #include <unordered_map>
 
-#include "cedarplank/dispatcher.hpp"
-#include "fields.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "json_fields.hpp"
 
-namespace cedarplank::adapter {
+namespace configuration {
 
 using Names = std::unordered_map<std::string, int>;
 
@@ -20,6 +20,6 @@
 int position(const Names& names, const std::string& name);
 
 // Throws WireError, naming the field, on what can't be read.
-Settings read_settings(const Value& v, const std::string& path, Tables& tables);
+dispatch::Settings read_settings(const Value& v, const std::string& path, Tables& tables);
 
-}  // namespace cedarplank::adapter
+}  // namespace configuration
--- a/include/cedarplank/dispatcher.hpp
+++ b/include/dispatch/dispatcher.hpp
@@ -1,4 +1,4 @@
-// cedarplank: the decisions of a dispatcher of notifications to outside receivers.
+// dispatch: the decisions of a dispatcher of notifications to outside receivers.
 //
 // A relay feeds one Dispatcher the events it sees and carries out the actions that come back, one
 // handle() a round. The dispatcher never blocks, does no input or output, reads no clock and keeps
@@ -16,7 +16,7 @@
 #include <variant>
 #include <vector>
 
-namespace cedarplank {
+namespace dispatch {
 
 using Time = std::int64_t;
 using MessageId = std::uint64_t;
@@ -264,4 +264,4 @@
   std::unique_ptr<State> state_;
 };
 
-}  // namespace cedarplank
+}  // namespace dispatch
--- a/relay/answer.cpp
+++ b/relay/answer.cpp
@@ -6,7 +6,7 @@
 
 #include "framing.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -89,8 +89,8 @@
 }
 
 // "x0=0.4,x1=25"
-cedarplank::Report AnswerReader::report() const {
-  cedarplank::Report report;
+dispatch::Report AnswerReader::report() const {
+  dispatch::Report report;
   const auto text = parser_->get()["X-Load"];
   for (std::size_t at = 0; at < text.size();) {
     const auto end = std::min(text.find(',', at), text.size());
@@ -105,4 +105,4 @@
   return report;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/answer.hpp
+++ b/relay/answer.hpp
@@ -7,10 +7,10 @@
 #include <optional>
 #include <string>
 
-#include "cedarplank/dispatcher.hpp"
 #include "clock.hpp"
+#include "dispatch/dispatcher.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 // Whether an answer that begins so says 200, as its first line alone tells; nothing while too little has
 // come.
@@ -39,7 +39,7 @@
   bool line_busy() const { return parser_->get()["X-Line-Busy"] == "1"; }
   const std::string& body() const { return parser_->get().body(); }
   Time told_wait() const;  // 0: none
-  cedarplank::Report report() const;
+  dispatch::Report report() const;
 
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -51,4 +51,4 @@
   bool begun_ = false, framed_ = false, whole_ = false, left_over_ = false;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/calls.cpp
+++ b/relay/calls.cpp
@@ -12,7 +12,7 @@
 
 #include "answer.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
 namespace beast = boost::beast;
@@ -95,7 +95,7 @@
   Time answer_due = 0;  // for the rest of an answer that has begun; 0: none has
   bool sound = false;   // the connection may be used again
   Time told_wait = 0;
-  cedarplank::Report report;
+  dispatch::Report report;
 
   // One message is delivered by the answer's first line, several by the whole of it.
   bool delivered() const { return messages.size() == 1 && answer.says_ok(); }
@@ -368,7 +368,7 @@
   const bool given_up =
       outcome == Outcome::reset || outcome == Outcome::timeout || outcome == Outcome::cancelled;
   if (given_up && call->delivered()) outcome = Outcome::served, closed = true;
-  cedarplank::event::AttemptEnded e;
+  dispatch::event::AttemptEnded e;
   e.id = call->messages[part].id;
   e.attempt = call->messages[part].attempt;
   e.endpoint = call->endpoint;
@@ -536,4 +536,4 @@
   });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/calls.hpp
+++ b/relay/calls.hpp
@@ -19,15 +19,15 @@
 #include <vector>
 
 #include "answer.hpp"
-#include "cedarplank/dispatcher.hpp"
 #include "clock.hpp"
+#include "dispatch/dispatcher.hpp"
 #include "log.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
-using cedarplank::EndpointId;
-using cedarplank::MessageId;
-using cedarplank::Outcome;
+using dispatch::EndpointId;
+using dispatch::MessageId;
+using dispatch::Outcome;
 
 struct Outgoing {
   MessageId id = 0;
@@ -60,7 +60,7 @@
 
 class Calls {
  public:
-  using Ended = std::function<void(const cedarplank::event::AttemptEnded&)>;
+  using Ended = std::function<void(const dispatch::event::AttemptEnded&)>;
 
   Calls(boost::asio::io_context& io, const CallLimits& limits, Ended ended);
   ~Calls();
@@ -127,4 +127,4 @@
   std::uint64_t written_ = 0;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/clock.hpp
+++ b/relay/clock.hpp
@@ -3,11 +3,11 @@
 
 #include <chrono>
 
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
-using cedarplank::Time;
+using dispatch::Time;
 
 inline Time steady_now() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -20,4 +20,4 @@
       .count();
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -10,9 +10,9 @@
 #include <iterator>
 #include <stdexcept>
 
-namespace heronvane {
+namespace message_relay {
 
-using namespace cedarplank::adapter;
+using namespace configuration;
 
 namespace {
 
@@ -82,7 +82,7 @@
       c.peers.push_back(udp(as_text(p, path + ".peers"), path + ".peers"));
   const Value& settings = need(v, "settings", path);
   c.settings = read_settings(settings, path + ".settings", c.names);
-  cedarplank::validate(c.settings);
+  dispatch::validate(c.settings);
   // On sockets nothing comes unasked: also where the settings say that changes do, they come by a watch,
   // which is to be opened, and opened again once it ends.
   c.settings.pushed = !c.settings.subscribe;
@@ -104,4 +104,4 @@
   return c;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 #include "members.hpp"
-#include "settings.hpp"
+#include "settings_reader.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 struct Config {
   std::string name;
@@ -26,8 +26,8 @@
   std::uint64_t disk_bytes = 0;  // that the state folder may hold
   std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
   std::vector<boost::asio::ip::udp::endpoint> peers;  // by rank
-  cedarplank::Settings settings;
-  cedarplank::adapter::Tables names;
+  dispatch::Settings settings;
+  configuration::Tables names;
   bool reports_in_answers = false;
   MemberList known;
 };
@@ -38,4 +38,4 @@
 // The file that LB_CONFIG names, with LB_STATE for the folder that lasts.
 Config load_config();
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/figures.cpp
+++ b/relay/figures.cpp
@@ -1,8 +1,8 @@
 #include "figures.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
-Figures::Figures(const cedarplank::adapter::Names& classes) {
+Figures::Figures(const configuration::Names& classes) {
   for (const auto& [name, position] : classes) ends_[name];
 }
 
@@ -32,4 +32,4 @@
   return all;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/figures.hpp
+++ b/relay/figures.hpp
@@ -6,9 +6,9 @@
 #include <map>
 #include <string>
 
-#include "settings.hpp"
+#include "settings_reader.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 enum class End { succeeded, declined, aborted };
 
@@ -23,7 +23,7 @@
 class Figures {
  public:
   // Every class shows from the start, at 0.
-  explicit Figures(const cedarplank::adapter::Names& classes);
+  explicit Figures(const configuration::Names& classes);
 
   void count(const std::string& message_class, End end);
   // One line "svc.NAME=NUMBER" each.
@@ -36,4 +36,4 @@
   std::map<std::string, Ends> ends_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/framing.cpp
+++ b/relay/framing.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace heronvane {
+namespace message_relay {
 
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -18,4 +18,4 @@
          beast::iequals(head[http::field::transfer_encoding], "chunked");
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/framing.hpp
+++ b/relay/framing.hpp
@@ -4,11 +4,11 @@
 
 #include <boost/beast/http/fields.hpp>
 
-namespace heronvane {
+namespace message_relay {
 
 constexpr std::uint64_t kMostBody = 64 * 1024;
 constexpr std::uint32_t kMostHeader = 16 * 1024;
 
 bool framing_certain(const boost::beast::http::fields& head, unsigned version);
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -18,7 +18,7 @@
 #include "log.hpp"
 #include "packing.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
 using boost::system::error_code;
@@ -80,7 +80,7 @@
     Member m;
     auto& x = m.endpoint;
     x.id = in.text(), x.destination = in.number<std::int64_t>();
-    x.zone = in.number<int>(), x.kind = in.number<int>(), x.listing = in.number<cedarplank::Listing>();
+    x.zone = in.number<int>(), x.kind = in.number<int>(), x.listing = in.number<dispatch::Listing>();
     x.weight = in.number<double>(), x.since = in.number<Time>();
     m.address = read_address(in.text(), "handover");
     e.list.members.push_back(std::move(m));
@@ -344,4 +344,4 @@
   });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/handover.hpp
+++ b/relay/handover.hpp
@@ -22,7 +22,7 @@
 #include "intake.hpp"
 #include "members.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 // A file descriptor with its owner.
 class Descriptor {
@@ -97,4 +97,4 @@
   Asked asked_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/intake.cpp
+++ b/relay/intake.cpp
@@ -12,7 +12,7 @@
 #include "framing.hpp"
 #include "request.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
 namespace beast = boost::beast;
@@ -269,8 +269,8 @@
   bool closed_ = false, close_after_ = false, doubtful_ = false;
 };
 
-Intake::Intake(net::io_context& io, tcp::acceptor listening, const cedarplank::Settings& settings,
-               const cedarplank::adapter::Tables& names, const IntakeLimits& limits, Take take, Ready ready)
+Intake::Intake(net::io_context& io, tcp::acceptor listening, const dispatch::Settings& settings,
+               const configuration::Tables& names, const IntakeLimits& limits, Take take, Ready ready)
     : io_(io),
       acceptor_(std::move(listening)),
       pause_(io),
@@ -360,4 +360,4 @@
   return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return !s->idle(); });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/intake.hpp
+++ b/relay/intake.hpp
@@ -12,9 +12,9 @@
 
 #include "journal.hpp"
 #include "log.hpp"
-#include "settings.hpp"
+#include "settings_reader.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 struct Answer {
   unsigned status = 202;
@@ -42,8 +42,8 @@
 
   // Accepts at once. Each message goes to `take`, which answers by the reply, once, then or later.
   Intake(boost::asio::io_context& io, boost::asio::ip::tcp::acceptor listening,
-         const cedarplank::Settings& settings, const cedarplank::adapter::Tables& names,
-         const IntakeLimits& limits, Take take, Ready ready);
+         const dispatch::Settings& settings, const configuration::Tables& names, const IntakeLimits& limits,
+         Take take, Ready ready);
   ~Intake();
 
   // While draining, connections are closed once they stand between requests; new ones are still answered.
@@ -68,8 +68,8 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
-  const cedarplank::Settings& settings_;
-  const cedarplank::adapter::Tables& names_;
+  const dispatch::Settings& settings_;
+  const configuration::Tables& names_;
   IntakeLimits limits_;
   Take take_;
   Ready ready_;
@@ -79,4 +79,4 @@
   std::set<std::shared_ptr<Session>> sessions_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -16,7 +16,7 @@
 
 #include "packing.hpp"
 
-namespace heronvane {
+namespace message_relay {
 namespace {
 
 // A file is this line, then frames: length and CRC-32 of the payload (4 bytes each), the payload.
@@ -392,4 +392,4 @@
   return false;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -12,13 +12,13 @@
 #include <string>
 #include <vector>
 
-#include "cedarplank/dispatcher.hpp"
 #include "clock.hpp"
+#include "dispatch/dispatcher.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
-using cedarplank::MessageId;
-using cedarplank::Outcome;
+using dispatch::MessageId;
+using dispatch::Outcome;
 
 struct Message {
   std::string id;  // the client's X-Request-Id
@@ -112,4 +112,4 @@
   std::string key_, order_key_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/log.cpp
+++ b/relay/log.cpp
@@ -4,7 +4,7 @@
 
 #include "clock.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 void log(const std::string& line) {
   const Time now = wall_now();
@@ -26,4 +26,4 @@
   });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/log.hpp
+++ b/relay/log.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-namespace heronvane {
+namespace message_relay {
 
 void log(const std::string& line);
 
@@ -23,4 +23,4 @@
   std::map<std::string, std::size_t> counts_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,6 +1,6 @@
-// heronvane: one relay on real sockets. LB_CONFIG names its configuration, LB_STATE the folder that lasts.
-// SIGTERM and SIGINT drain and end it, SIGHUP has the configuration read again. Started next to one that runs
-// on the same folder, it takes over from it.
+// message_relay: one relay on real sockets. LB_CONFIG names its configuration, LB_STATE the folder that
+// lasts. SIGTERM and SIGINT drain and end it, SIGHUP has the configuration read again. Started next to one
+// that runs on the same folder, it takes over from it.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -15,11 +15,11 @@
 namespace {
 
 // A file that can't be read changes nothing.
-void reload(heronvane::Relay& relay) {
+void reload(message_relay::Relay& relay) {
   try {
-    relay.reconfigure(heronvane::load_config());
+    relay.reconfigure(message_relay::load_config());
   } catch (const std::exception& e) {
-    heronvane::log(std::string("configuration: the old one stays: ") + e.what());
+    message_relay::log(std::string("configuration: the old one stays: ") + e.what());
   }
 }
 
@@ -29,12 +29,12 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
-    const heronvane::Config config = heronvane::load_config();
+    const message_relay::Config config = message_relay::load_config();
     // While another process still owns the folder, a signal ends this one, which owes nothing yet.
-    heronvane::Possession possession = heronvane::take_possession(config.state_folder);
+    message_relay::Possession possession = message_relay::take_possession(config.state_folder);
     // Before anything slow: a signal that comes while the journal is read waits for the loop.
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-    heronvane::Relay relay(io, config, std::move(possession));
+    message_relay::Relay relay(io, config, std::move(possession));
     ends.async_wait([&](boost::system::error_code bad, int) {
       if (!bad) relay.stop([&io] { io.stop(); });
     });
@@ -49,7 +49,7 @@
     io.run();
     return 0;
   } catch (const std::exception& e) {
-    heronvane::log(std::string("heronvane: ") + e.what());
+    message_relay::log(std::string("message_relay: ") + e.what());
     return 1;
   }
 }
--- a/relay/members.cpp
+++ b/relay/members.cpp
@@ -4,10 +4,10 @@
 
 #include "clock.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
-using namespace cedarplank::adapter;
-using cedarplank::Listing;
+using namespace configuration;
+using dispatch::Listing;
 
 boost::asio::ip::tcp::endpoint read_address(const std::string& text, const std::string& path) {
   const auto colon = text.rfind(':');
@@ -48,4 +48,4 @@
   return list;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/members.hpp
+++ b/relay/members.hpp
@@ -5,13 +5,13 @@
 #include <string>
 #include <vector>
 
-#include "cedarplank/dispatcher.hpp"
-#include "settings.hpp"
+#include "dispatch/dispatcher.hpp"
+#include "settings_reader.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 struct Member {
-  cedarplank::Endpoint endpoint;
+  dispatch::Endpoint endpoint;
   boost::asio::ip::tcp::endpoint address;
 };
 
@@ -22,10 +22,10 @@
 };
 
 // Throws WireError, naming the field, on what can't be read.
-MemberList read_members(const cedarplank::adapter::Value& v, const std::string& path,
-                        const cedarplank::adapter::Tables& names);
+MemberList read_members(const configuration::Value& v, const std::string& path,
+                        const configuration::Tables& names);
 
 // "127.0.0.1:8081"; throws WireError naming `path`.
 boost::asio::ip::tcp::endpoint read_address(const std::string& text, const std::string& path);
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/operators.cpp
+++ b/relay/operators.cpp
@@ -9,7 +9,7 @@
 
 #include "log.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
 using boost::system::error_code;
@@ -163,4 +163,4 @@
   leaves->close();
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/operators.hpp
+++ b/relay/operators.hpp
@@ -10,7 +10,7 @@
 #include <memory>
 #include <string>
 
-namespace heronvane {
+namespace message_relay {
 
 enum class Verb { status, metrics, suspend, restore, pause, resume };
 
@@ -52,4 +52,4 @@
   std::list<std::shared_ptr<Session>> sessions_;  // oldest first
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/packing.hpp
+++ b/relay/packing.hpp
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace heronvane {
+namespace message_relay {
 
 static_assert(std::endian::native == std::endian::little);
 
@@ -55,4 +55,4 @@
   std::size_t at_ = 0;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/peers.cpp
+++ b/relay/peers.cpp
@@ -5,7 +5,7 @@
 
 #include "log.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
 using boost::system::error_code;
@@ -64,4 +64,4 @@
   });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/peers.hpp
+++ b/relay/peers.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-namespace heronvane {
+namespace message_relay {
 
 class Peers {
  public:
@@ -35,4 +35,4 @@
   std::array<char, 257> note_{};  // one byte more than a note may have: a longer one is told by it
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -10,13 +10,13 @@
 #include "log.hpp"
 #include "values.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
 using boost::system::error_code;
-using cedarplank::event::Loss;
+using dispatch::event::Loss;
 using tcp = net::ip::tcp;
 
 namespace {
@@ -55,9 +55,8 @@
   http::response<http::string_body> response;
 };
 
-Platform::Platform(net::io_context& io, const tcp::endpoint& address,
-                   const cedarplank::adapter::Tables& names, const Patience& patience, std::int64_t index,
-                   Listed listed, Lost lost, Noticed noticed)
+Platform::Platform(net::io_context& io, const tcp::endpoint& address, const configuration::Tables& names,
+                   const Patience& patience, std::int64_t index, Listed listed, Lost lost, Noticed noticed)
     : io_(io),
       address_(address),
       names_(names),
@@ -187,7 +186,7 @@
     }
     if (whole_due_) fetch();
     return true;
-  } catch (const cedarplank::adapter::WireError& e) {
+  } catch (const configuration::WireError& e) {
     log(std::string("discovery: ") + e.what());
     return false;
   }
@@ -306,4 +305,4 @@
   });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -13,9 +13,9 @@
 
 #include "journal.hpp"
 #include "members.hpp"
-#include "settings.hpp"
+#include "settings_reader.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 struct Patience {
   std::chrono::microseconds answer;  // with a call for the list, until its answer begins
@@ -26,12 +26,12 @@
 class Platform {
  public:
   using Listed = std::function<void(MemberList)>;
-  using Lost = std::function<void(cedarplank::event::Loss)>;
+  using Lost = std::function<void(dispatch::event::Loss)>;
   using Noticed = std::function<void(const std::vector<MessageId>&)>;
 
   Platform(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-           const cedarplank::adapter::Tables& names, const Patience& patience, std::int64_t index,
-           Listed listed, Lost lost, Noticed noticed);
+           const configuration::Tables& names, const Patience& patience, std::int64_t index, Listed listed,
+           Lost lost, Noticed noticed);
   ~Platform();
 
   void watch();  // changes from now on; `lost` tells its end
@@ -53,7 +53,7 @@
   bool values(Query& query);
   bool take(const std::string& text, bool follow);
   void end(const std::shared_ptr<Query>& query, const std::string& why,
-           cedarplank::event::Loss loss = cedarplank::event::Loss::failed);
+           dispatch::event::Loss loss = dispatch::event::Loss::failed);
   void guard(const std::shared_ptr<Query>& query);
   void post();
   void told(const std::vector<MessageId>& ids);
@@ -61,7 +61,7 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
-  const cedarplank::adapter::Tables& names_;
+  const configuration::Tables& names_;
   Patience patience_;
   std::int64_t index_;
   Listed listed_;
@@ -80,4 +80,4 @@
   std::chrono::microseconds post_time_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/recent.hpp
+++ b/relay/recent.hpp
@@ -9,7 +9,7 @@
 
 #include "clock.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 class RecentIds {
  public:
@@ -37,4 +37,4 @@
   std::unordered_set<std::string> ids_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -6,13 +6,13 @@
 
 #include "log.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace net = boost::asio;
-namespace event = cedarplank::event;
-namespace action = cedarplank::action;
+namespace event = dispatch::event;
+namespace action = dispatch::action;
 using boost::system::error_code;
-using cedarplank::Listing;
+using dispatch::Listing;
 using net::ip::tcp;
 
 namespace {
@@ -60,13 +60,13 @@
 
 // A call for the list that nobody answers is given up, and a watch that has fallen silent taken as broken, so
 // soon that another can still tell of a drain within its grace.
-Patience patience(const cedarplank::Settings& s) {
+Patience patience(const dispatch::Settings& s) {
   if (!s.pushed) return {span(s.ask_patience), span(s.watch_patience), kNoticeAnswer};
   const auto grace = s.drain_grace > 0 ? std::min(span(s.drain_grace), kMostGrace) : kMostGrace;
   return {grace / 4, kHeartbeat + grace / 2, kNoticeAnswer};
 }
 
-Time longest_deadline(const cedarplank::Settings& s) {
+Time longest_deadline(const dispatch::Settings& s) {
   Time longest = 0;
   for (const auto& c : s.classes) longest = std::max(longest, c.deadline);
   return longest;
@@ -76,8 +76,8 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-std::vector<cedarplank::Endpoint> endpoints_of(const MemberList& list) {
-  std::vector<cedarplank::Endpoint> endpoints;
+std::vector<dispatch::Endpoint> endpoints_of(const MemberList& list) {
+  std::vector<dispatch::Endpoint> endpoints;
   for (const auto& m : list.members) endpoints.push_back(m.endpoint);
   return endpoints;
 }
@@ -207,7 +207,7 @@
   a.id = id;
   a.destination = m.destination;
   a.message_class = config_.names.classes.at(m.message_class);
-  a.tenant = cedarplank::adapter::position(config_.names.tenants, m.tenant);
+  a.tenant = configuration::position(config_.names.tenants, m.tenant);
   a.time_left = m.deadline - wall_now();
   a.repeat = m.repeat;
   a.order_key = m.order_key;
@@ -347,7 +347,7 @@
 }
 
 void Relay::decide(Plan& plan) {
-  std::vector<cedarplank::Action> actions;
+  std::vector<dispatch::Action> actions;
   const auto events = std::exchange(events_, {});
   dispatcher_.handle(last_round_, events, actions);
   for (const auto& a : actions) {
@@ -631,7 +631,7 @@
   successor_.reset();
   if (unwritten_ || !journal_.rest()) return log("handover: not while the journal can't be written");
   const Estate all = estate();
-  if (!heronvane::hand_over(successor, all, possession_.lock.get()))
+  if (!message_relay::hand_over(successor, all, possession_.lock.get()))
     return log("handover: the other process did not take over; going on");
   log("handed over: " + std::to_string(journal_.held().size()) + " messages held, " +
       std::to_string(all.clients.size()) + " clients' connections, " + std::to_string(all.calls.size()) +
@@ -666,4 +666,4 @@
   });
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -14,8 +14,8 @@
 #include <vector>
 
 #include "calls.hpp"
-#include "cedarplank/dispatcher.hpp"
 #include "config.hpp"
+#include "dispatch/dispatcher.hpp"
 #include "figures.hpp"
 #include "handover.hpp"
 #include "intake.hpp"
@@ -25,7 +25,7 @@
 #include "platform.hpp"
 #include "recent.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 class Relay {
  public:
@@ -63,7 +63,7 @@
   void hand_over();
   Estate estate();
   void arrive(Message message, Reply reply);
-  void ended(const cedarplank::event::AttemptEnded& e);
+  void ended(const dispatch::event::AttemptEnded& e);
   void listed(MemberList list);
   static void log_list(const MemberList& list);
   template <class E>
@@ -86,7 +86,7 @@
   std::string figures() const;
   void leave(const EndpointId& endpoint);
   Reply shared(const std::string& id, Reply reply);
-  void send(Plan& plan, const cedarplank::action::Send& a);
+  void send(Plan& plan, const dispatch::action::Send& a);
   void finish(Plan& plan, MessageId id, const Ending& ending);
   void set_timer(Time after, std::uint64_t token);
   void arm_timers();
@@ -94,18 +94,18 @@
   void compact();
   void check_drained();
   bool ready() const;
-  cedarplank::event::Arrival arrival(MessageId id, const Message& m) const;
+  dispatch::event::Arrival arrival(MessageId id, const Message& m) const;
 
   boost::asio::io_context& io_;
   const Config& config_;
   Possession possession_;
   Journal journal_;
-  cedarplank::Dispatcher dispatcher_;
+  dispatch::Dispatcher dispatcher_;
   Calls calls_;
   Platform platform_;
   std::optional<Peers> peers_;
 
-  std::map<EndpointId, cedarplank::Endpoint> endpoints_;
+  std::map<EndpointId, dispatch::Endpoint> endpoints_;
   std::unordered_map<std::string, MessageId> numbers_;  // of the messages held, by the client's id
   std::map<MessageId, Reply> unanswered_;               // taken in this round
   // Ids that wait for their answer, with those that handed the same one in meanwhile.
@@ -118,7 +118,7 @@
   MessageId next_number_ = 1;
   std::vector<Arrived> arrived_;
   std::uint64_t arrived_cost_ = 0;
-  std::vector<cedarplank::Event> events_;
+  std::vector<dispatch::Event> events_;
   std::multimap<Time, std::uint64_t> timers_;
   std::vector<Plan> stalled_;  // waiting for their records to stand
   Time last_round_ = 0, stop_at_ = 0;
@@ -134,4 +134,4 @@
   std::optional<Successors> successors_;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/request.cpp
+++ b/relay/request.cpp
@@ -7,7 +7,7 @@
 
 #include "clock.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -58,8 +58,8 @@
 
 }  // namespace
 
-Handed read_message(Request& request, const cedarplank::Settings& settings,
-                    const cedarplank::adapter::Tables& names) {
+Handed read_message(Request& request, const dispatch::Settings& settings,
+                    const configuration::Tables& names) {
   Handed h;
   const auto refuse = [&h](unsigned status, const char* why) {
     h.refused = status, h.why = why;
@@ -105,4 +105,4 @@
   return h;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/request.hpp
+++ b/relay/request.hpp
@@ -4,11 +4,11 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 #include "journal.hpp"
-#include "settings.hpp"
+#include "settings_reader.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 using Request = boost::beast::http::request<boost::beast::http::string_body>;
 
@@ -19,7 +19,6 @@
   unsigned refused = 0;
   const char* why = "";
 };
-Handed read_message(Request& request, const cedarplank::Settings& settings,
-                    const cedarplank::adapter::Tables& names);
+Handed read_message(Request& request, const dispatch::Settings& settings, const configuration::Tables& names);
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/values.cpp
+++ b/relay/values.cpp
@@ -1,6 +1,6 @@
 #include "values.hpp"
 
-namespace heronvane {
+namespace message_relay {
 
 std::optional<std::string> ValueStream::next() {
   for (; at_ < text_.size() && !broken_; at_++) {
@@ -24,4 +24,4 @@
   return std::nullopt;
 }
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/relay/values.hpp
+++ b/relay/values.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-namespace heronvane {
+namespace message_relay {
 
 class ValueStream {
  public:
@@ -22,4 +22,4 @@
   bool in_text_ = false, escaped_ = false, broken_ = false;
 };
 
-}  // namespace heronvane
+}  // namespace message_relay
--- a/scale/catalogue.cpp
+++ b/scale/catalogue.cpp
@@ -2,7 +2,7 @@
 
 #include <cstdio>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 std::string endpoint_name(std::int64_t n) {
   constexpr std::uint32_t kOdd = 2'654'435'761;  // times it, modulo 2^32: one to one
@@ -39,4 +39,4 @@
   return list_of(entries, index, true);
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/catalogue.hpp
+++ b/scale/catalogue.hpp
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 // As on the protocol's page, "s-5be2a07c": another one for each number below 2^32, in no order.
 std::string endpoint_name(std::int64_t n);
@@ -17,4 +17,4 @@
 std::string catalogue(std::int64_t endpoints, double per_destination, const std::string& address = "",
                       std::int64_t index = 41);
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/experiment.cpp
+++ b/scale/experiment.cpp
@@ -2,7 +2,7 @@
 
 #include <sstream>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 template <class T>
@@ -89,4 +89,4 @@
     if (known_.count(std::string(key.str())) == 0) bad(node, std::string(key.str()), "unknown");
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/experiment.hpp
+++ b/scale/experiment.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 // An argument or a file that makes no sense: the message names it, and where it is a file, its line.
 struct BadInput : std::runtime_error {
@@ -41,4 +41,4 @@
   std::set<std::string> known_;
 };
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -16,9 +16,9 @@
 
 #include "meters.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
-using namespace cedarplank;
+using namespace dispatch;
 
 namespace {
 
@@ -664,4 +664,4 @@
   return Fleet(settings, progress).run();
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/fleet.hpp
+++ b/scale/fleet.hpp
@@ -6,9 +6,9 @@
 #include <functional>
 #include <vector>
 
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 // Lengths in seconds, rates a second. A pair is a range from which each destination draws.
 struct FleetSettings {
@@ -78,4 +78,4 @@
 FleetResult run_fleet(
     const FleetSettings& settings, const std::function<void(double second)>& progress = [](double) {});
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/fleet_command.cpp
+++ b/scale/fleet_command.cpp
@@ -12,7 +12,7 @@
 #include "fleet.hpp"
 #include "report.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 constexpr double kMostTime = 3'600, kMostRate = 1e6;
@@ -199,4 +199,4 @@
   fleet->callback([given] { run(*given); });
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/journal_slopes.cpp
+++ b/scale/journal_slopes.cpp
@@ -9,13 +9,13 @@
 #include "slopes.hpp"
 #include "stored.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
-using heronvane::Journal;
-using heronvane::Message;
-using heronvane::MessageId;
-using heronvane::Outcome;
+using message_relay::Journal;
+using message_relay::Message;
+using message_relay::MessageId;
+using message_relay::Outcome;
 
 constexpr MessageId kCommit = 64;       // messages with one commit, where that is not what is varied
 constexpr std::int64_t kCommits = 100;  // of one size, together one measurement
@@ -128,4 +128,4 @@
             median_of(set.repetitions, [&] { return commit_time(n, set.body_bytes); }));
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/least_squares.cpp
+++ b/scale/least_squares.cpp
@@ -3,7 +3,7 @@
 #include <cmath>
 #include <stdexcept>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 Line least_squares(const std::vector<Point>& points) {
   const auto n = static_cast<double>(points.size());
@@ -32,4 +32,4 @@
   return line;
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/least_squares.hpp
+++ b/scale/least_squares.hpp
@@ -3,7 +3,7 @@
 
 #include <vector>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 struct Point {
   double size = 0, cost = 0;
@@ -24,4 +24,4 @@
 // are fewer than two different sizes.
 Line least_squares(const std::vector<Point>& points);
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/list_slopes.cpp
+++ b/scale/list_slopes.cpp
@@ -12,13 +12,13 @@
 #include "slopes.hpp"
 #include "values.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 constexpr std::size_t kPiece = 64 * 1024;  // bytes that one read of the socket brings at most
 
 std::string streamed(const std::string& list) {
-  heronvane::ValueStream stream;
+  message_relay::ValueStream stream;
   std::optional<std::string> value;
   for (std::size_t at = 0; at < list.size(); at += kPiece) {
     stream.put(list.substr(at, kPiece));
@@ -33,14 +33,14 @@
   std::int64_t parsed_bytes = 0, bytes = 0;  // the parser's memory while it reads; what is kept of it
 };
 
-Reading read(const std::string& list, const cedarplank::adapter::Tables& names) {
+Reading read(const std::string& list, const configuration::Tables& names) {
   Reading reading;
   rapidjson::Document v;
   reading.parse = time_of([&] { v.Parse<rapidjson::kParseIterativeFlag>(list.data(), list.size()); });
   reading.parsed_bytes = static_cast<std::int64_t>(v.GetAllocator().Capacity());
   const std::int64_t before = allocated().bytes;
-  heronvane::MemberList members;
-  reading.read = time_of([&] { members = heronvane::read_members(v, "members", names); });
+  message_relay::MemberList members;
+  reading.read = time_of([&] { members = message_relay::read_members(v, "members", names); });
   reading.bytes = allocated().bytes - before;
   return reading;
 }
@@ -49,7 +49,7 @@
 
 void list_slopes(Slopes& out) {
   const auto& set = out.set;
-  cedarplank::adapter::Tables names;
+  configuration::Tables names;
   names.zones.emplace("a", 0), names.kinds.emplace("small", 0);
   for (const auto n : set.endpoints) {
     const std::string list = catalogue(n, set.endpoints_per_destination);
@@ -70,4 +70,4 @@
   out.reach("whole list, bytes", kEndpoints, static_cast<double>(set.list_limit_bytes));
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -1,4 +1,4 @@
-// yarrowwood_scale: what the module and the relay cost, and how a fleet of them fares, against size.
+// scale_tool: what the module and the relay cost, and how a fleet of them fares, against size.
 #include <CLI/CLI.hpp>
 #include <exception>
 #include <iostream>
@@ -7,9 +7,9 @@
 #include "experiment.hpp"
 
 int main(int argc, char** argv) {
-  namespace scale = yarrowwood::scale;
+  namespace scale = scale_tool;
   constexpr int kBadInput = 2;
-  CLI::App app{"Scale tests of the relay and its decision module", "yarrowwood_scale"};
+  CLI::App app{"Scale tests of the relay and its decision module", "scale_tool"};
   app.require_subcommand(1);
   scale::add_fleet(app);
   scale::add_slopes(app);
@@ -19,10 +19,10 @@
   } catch (const CLI::ParseError& e) {
     return app.exit(e) == 0 ? 0 : kBadInput;
   } catch (const scale::BadInput& e) {
-    std::cerr << "yarrowwood_scale: " << e.what() << '\n';
+    std::cerr << "scale_tool: " << e.what() << '\n';
     return kBadInput;
   } catch (const std::exception& e) {
-    std::cerr << "yarrowwood_scale: " << e.what() << '\n';
+    std::cerr << "scale_tool: " << e.what() << '\n';
     return 1;
   }
 }
--- a/scale/meters.cpp
+++ b/scale/meters.cpp
@@ -59,7 +59,7 @@
 void operator delete(void* block, std::size_t, std::align_val_t) noexcept { release(block); }
 void operator delete[](void* block, std::size_t, std::align_val_t) noexcept { release(block); }
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 double thread_time() {
   timespec t{};
@@ -91,7 +91,7 @@
 }
 
 ScratchFolder::ScratchFolder()
-    : path_((std::filesystem::temp_directory_path() / "yarrowwood-scale-XXXXXX").string()) {
+    : path_((std::filesystem::temp_directory_path() / "scale-tool-XXXXXX").string()) {
   if (::mkdtemp(path_.data()) == nullptr) throw std::system_error(errno, std::generic_category(), path_);
 }
 ScratchFolder::~ScratchFolder() {
@@ -99,4 +99,4 @@
   std::filesystem::remove_all(path_, ignored);
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/meters.hpp
+++ b/scale/meters.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 // Processor time of this thread, microseconds: other work on the machine does not count.
 double thread_time();
@@ -40,4 +40,4 @@
   std::string path_;
 };
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/module_slopes.cpp
+++ b/scale/module_slopes.cpp
@@ -3,14 +3,14 @@
 #include <map>
 
 #include "catalogue.hpp"
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 #include "meters.hpp"
 #include "slopes.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
-using namespace cedarplank;
+using namespace dispatch;
 
 constexpr Time kMs = 1'000, kS = 1'000'000;
 constexpr Time kTick = 5 * kMs;
@@ -198,4 +198,4 @@
   }
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/relay_process.cpp
+++ b/scale/relay_process.cpp
@@ -13,7 +13,7 @@
 #include <iterator>
 #include <system_error>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 RelayProcess::RelayProcess(const std::string& program, const std::string& folder, const std::string& config)
     : folder_(folder) {
@@ -64,4 +64,4 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/relay_process.hpp
+++ b/scale/relay_process.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <string>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 class RelayProcess {
  public:
@@ -30,4 +30,4 @@
   clockid_t clock_{};
 };
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/relay_slopes.cpp
+++ b/scale/relay_slopes.cpp
@@ -14,7 +14,7 @@
 #include "stand_ins.hpp"
 #include "stored.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -41,10 +41,10 @@
   void hold(std::int64_t messages) {
     const std::string state = RelayProcess::state_in(folder_.path());
     std::filesystem::create_directories(state);
-    heronvane::Journal journal(state, kNoLimit);
+    message_relay::Journal journal(state, kNoLimit);
     for (std::int64_t id = 1; id <= messages; id++) {
-      journal.take(static_cast<heronvane::MessageId>(id),
-                   stored(static_cast<heronvane::MessageId>(id), kDrainingDestination, set_.body_bytes));
+      journal.take(static_cast<message_relay::MessageId>(id),
+                   stored(static_cast<message_relay::MessageId>(id), kDrainingDestination, set_.body_bytes));
       if (id % 64 == 0 || id == messages) journal.commit();
     }
   }
@@ -230,4 +230,4 @@
   out.reach("a second of it, processor, us", kRate, 1e6);
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/report.cpp
+++ b/scale/report.cpp
@@ -11,7 +11,7 @@
 
 #include "experiment.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 std::string text_of(const Value& value) {
@@ -85,4 +85,4 @@
   std::fflush(stderr);
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/report.hpp
+++ b/scale/report.hpp
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 using Value = std::variant<std::int64_t, double, std::string>;
 using Row = std::vector<std::pair<std::string, Value>>;
@@ -33,4 +33,4 @@
 // A line on standard error that the next one overwrites; nothing where that is no terminal's.
 void progress(const std::string& text);
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -6,7 +6,7 @@
 
 #include "meters.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 constexpr std::int64_t kMostSize = 20'000'000;
@@ -124,4 +124,4 @@
   progress("");
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/slopes.hpp
+++ b/scale/slopes.hpp
@@ -11,7 +11,7 @@
 #include "least_squares.hpp"
 #include "report.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 using Sizes = std::vector<std::int64_t>;
 // What one measurement tells: name with unit, value.
@@ -81,4 +81,4 @@
 void list_slopes(Slopes& slopes);
 void relay_slopes(Slopes& slopes);
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/slopes_command.cpp
+++ b/scale/slopes_command.cpp
@@ -1,4 +1,4 @@
-// yarrowwood_scale slopes: arguments, and which parts are measured.
+// scale_tool slopes: arguments, and which parts are measured.
 #include <unistd.h>
 
 #include <algorithm>
@@ -9,7 +9,7 @@
 #include "commands.hpp"
 #include "slopes.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 struct Part {
@@ -26,7 +26,7 @@
 
 std::string beside_this_program() {
   std::error_code bad;
-  return (std::filesystem::read_symlink("/proc/self/exe", bad).parent_path() / "heronvane").string();
+  return (std::filesystem::read_symlink("/proc/self/exe", bad).parent_path() / "message_relay").string();
 }
 
 void run(const Arguments& arguments) {
@@ -61,7 +61,7 @@
   command->add_option("--experiment", arguments->experiment, "TOML file; its table [slopes] is read");
   command->add_option("--json", arguments->json, "file for the results, a JSON line each");
   command->add_option("--relay", arguments->relay,
-                      "the relay's program; else heronvane, in this one's folder");
+                      "the relay's program; else message_relay, in this one's folder");
   std::vector<std::string> names;
   for (const auto& part : kParts) names.emplace_back(part.name);
   command->add_option("--only", arguments->only, "parts to measure, instead of all")
@@ -69,4 +69,4 @@
   command->callback([arguments] { run(*arguments); });
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/stand_ins.cpp
+++ b/scale/stand_ins.cpp
@@ -5,7 +5,7 @@
 
 #include "stored.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 namespace net = boost::asio;
 namespace http = boost::beast::http;
@@ -145,4 +145,4 @@
   io_.run_for(span);
 }
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/scale/stand_ins.hpp
+++ b/scale/stand_ins.hpp
@@ -17,7 +17,7 @@
 #include <string>
 #include <vector>
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 
 class StandIns {
  public:
@@ -76,4 +76,4 @@
   std::int64_t watch_bytes_ = 0, handed_in_ = 0, delivered_ = 0, answered_ = 0, refused_ = 0;
 };
 
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1,9 +1,9 @@
-// The decisions of cedarplank. Interface: include/cedarplank/dispatcher.hpp
+// The decisions of dispatch. Interface: include/dispatch/dispatcher.hpp
 //
 // Read top to bottom: constants; what is kept of endpoints, targets and messages; learning from
 // outcomes (LIMD delay, pace, health); the list; the one gate that every send passes; choosing what goes
 // next; ends and timers. docs/design.md tells what comes from the design's source and what is ours.
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -18,7 +18,7 @@
 #include <stdexcept>
 #include <utility>
 
-namespace cedarplank {
+namespace dispatch {
 namespace {
 
 // ---- Constants. Times in seconds, unless derived from settings where they are used. ----
@@ -1234,4 +1234,4 @@
   state_->handle(now, events, actions);
 }
 
-}  // namespace cedarplank
+}  // namespace dispatch
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -5,7 +5,7 @@
 
 #include "codec.hpp"
 
-namespace cedarplank::adapter {
+namespace simulator_adapter {
 namespace {
 
 const char* const kSetup =
@@ -50,7 +50,7 @@
     codec_.take(R"({"kind":"ROUND","Clock":1})", reply);
     try {
       codec_.take(line, reply);
-    } catch (const WireError& e) {
+    } catch (const configuration::WireError& e) {
       return e.what();
     }
     return "";
@@ -149,4 +149,4 @@
 }
 
 }  // namespace
-}  // namespace cedarplank::adapter
+}  // namespace simulator_adapter
--- a/tests/answer_test.cpp
+++ b/tests/answer_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-namespace heronvane {
+namespace message_relay {
 namespace {
 
 using State = AnswerReader::State;
@@ -100,9 +100,9 @@
   EXPECT_EQ(read("X-Load: x0=0.4,x1=25").report().limit_rate, 25);
   for (const std::string& bad : {std::string("nan"), std::string("inf"), std::string("-1"),
                                  std::string("4abc"), std::string(""), std::string("1e999")}) {
-    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).report().limit_left, cedarplank::Report{}.limit_left)
+    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).report().limit_left, dispatch::Report{}.limit_left)
         << bad;
-    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).report().limit_rate, cedarplank::Report{}.limit_rate)
+    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).report().limit_rate, dispatch::Report{}.limit_rate)
         << bad;
     EXPECT_EQ(read("X-Come-Back-Ms: " + bad).told_wait(), 0) << bad;
   }
@@ -110,4 +110,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane
+}  // namespace message_relay
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -3,10 +3,10 @@
 
 #include "relay_harness.hpp"
 
-namespace heronvane::testing {
+namespace message_relay::testing {
 namespace {
 
-using cedarplank::event::AttemptEnded;
+using dispatch::event::AttemptEnded;
 
 constexpr Time kSoon = 500'000, kLong = 20'000'000;
 
@@ -141,4 +141,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane::testing
+}  // namespace message_relay::testing
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -6,7 +6,7 @@
 
 #include "harness.hpp"
 
-namespace cedarplank::testing {
+namespace dispatch::testing {
 namespace {
 
 std::optional<Outcome> serve(const Sent&) { return Outcome::served; }
@@ -1062,4 +1062,4 @@
 }
 
 }  // namespace
-}  // namespace cedarplank::testing
+}  // namespace dispatch::testing
--- a/tests/fleet_scale_test.cpp
+++ b/tests/fleet_scale_test.cpp
@@ -3,7 +3,7 @@
 
 #include "fleet.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 FleetSettings small() {
@@ -123,4 +123,4 @@
 }
 
 }  // namespace
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -4,7 +4,7 @@
 
 #include "harness.hpp"
 
-namespace cedarplank::testing {
+namespace dispatch::testing {
 namespace {
 
 constexpr int kRelays = 100;
@@ -247,4 +247,4 @@
 }
 
 }  // namespace
-}  // namespace cedarplank::testing
+}  // namespace dispatch::testing
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -12,7 +12,7 @@
 
 #include "relay_harness.hpp"
 
-namespace heronvane::testing {
+namespace message_relay::testing {
 namespace {
 
 const char* const kSafe = "load-status";
@@ -80,7 +80,7 @@
   given.list.index = 41, given.list_told = given.paused = true, given.next_number = 1234;
   Member m;
   m.endpoint.id = "s-1", m.endpoint.destination = 7, m.endpoint.zone = 1, m.endpoint.kind = 2;
-  m.endpoint.listing = cedarplank::Listing::draining, m.endpoint.weight = 2.5, m.endpoint.since = -9;
+  m.endpoint.listing = dispatch::Listing::draining, m.endpoint.weight = 2.5, m.endpoint.since = -9;
   m.address = read_address("127.0.0.1:8081", "");
   given.list.members = {m};
   given.learnt = std::string(200'000, 'x') + "\n";
@@ -118,7 +118,7 @@
   EXPECT_EQ(x.destination, 7);
   EXPECT_EQ(x.zone, 1);
   EXPECT_EQ(x.kind, 2);
-  EXPECT_EQ(x.listing, cedarplank::Listing::draining);
+  EXPECT_EQ(x.listing, dispatch::Listing::draining);
   EXPECT_EQ(x.weight, 2.5);
   EXPECT_EQ(x.since, -9);
   EXPECT_EQ(e.list.members[0].address, m.address);
@@ -339,4 +339,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane::testing
+}  // namespace message_relay::testing
--- a/tests/harness.hpp
+++ b/tests/harness.hpp
@@ -9,9 +9,9 @@
 #include <string>
 #include <vector>
 
-#include "cedarplank/dispatcher.hpp"
+#include "dispatch/dispatcher.hpp"
 
-namespace cedarplank::testing {
+namespace dispatch::testing {
 
 constexpr Time kMs = 1'000, kS = 1'000'000;
 
@@ -154,4 +154,4 @@
   MessageId last_id_ = 0;
 };
 
-}  // namespace cedarplank::testing
+}  // namespace dispatch::testing
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -7,7 +7,7 @@
 #include <filesystem>
 #include <fstream>
 
-namespace heronvane {
+namespace message_relay {
 namespace {
 
 namespace fs = std::filesystem;
@@ -265,4 +265,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane
+}  // namespace message_relay
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -3,7 +3,7 @@
 
 #include "relay_harness.hpp"
 
-namespace heronvane::testing {
+namespace message_relay::testing {
 namespace {
 
 const char* const kSafe = "load-status";
@@ -214,4 +214,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane::testing
+}  // namespace message_relay::testing
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -5,10 +5,10 @@
 #include "relay_harness.hpp"
 #include "values.hpp"
 
-namespace heronvane::testing {
+namespace message_relay::testing {
 namespace {
 
-using cedarplank::event::Loss;
+using dispatch::event::Loss;
 
 TEST(Values, ComeWholeHoweverTheyAreBroken) {
   const std::string first = "{\n  \"a\": \"}{ \\\" \\\\\",\n  \"b\": [\n    {}\n  ]\n}", second = "[1,[2]]";
@@ -73,7 +73,7 @@
   net::io_context io;
   Server agent;
   std::vector<Got> asked;
-  cedarplank::adapter::Tables names;
+  configuration::Tables names;
   std::vector<MemberList> lists;
   std::vector<Loss> lost;
   std::optional<Platform> platform;
@@ -91,7 +91,7 @@
   EXPECT_TRUE(lost.empty());
   ASSERT_EQ(lists.size(), 2u);
   EXPECT_EQ(lists[0].index, 42);
-  EXPECT_EQ(lists[1].members.at(0).endpoint.listing, cedarplank::Listing::draining);
+  EXPECT_EQ(lists[1].members.at(0).endpoint.listing, dispatch::Listing::draining);
 }
 
 // An agent that takes the call and says nothing is given up by the first patience, not by that with a watch.
@@ -260,4 +260,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane::testing
+}  // namespace message_relay::testing
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -24,7 +24,7 @@
 #include <string>
 #include <vector>
 
-namespace heronvane::testing {
+namespace message_relay::testing {
 
 namespace net = boost::asio;
 namespace beast = boost::beast;
@@ -150,7 +150,7 @@
  protected:
   RelayTest() : endpoint(io, answer_ok), platform(io, [this](const Got& g) { on_platform(g); }) {
     const auto base =
-        std::filesystem::temp_directory_path() / ("heronvane-test-" + std::to_string(::getpid()));
+        std::filesystem::temp_directory_path() / ("message_relay-test-" + std::to_string(::getpid()));
     folder = base.string();
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder + "/state");
@@ -229,7 +229,7 @@
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
-      ::execl(HERONVANE_PROGRAM, HERONVANE_PROGRAM, static_cast<char*>(nullptr));
+      ::execl(MESSAGE_RELAY_PROGRAM, MESSAGE_RELAY_PROGRAM, static_cast<char*>(nullptr));
       ::_exit(127);
     }
   }
@@ -362,4 +362,4 @@
   std::vector<std::shared_ptr<Client>> clients;
 };
 
-}  // namespace heronvane::testing
+}  // namespace message_relay::testing
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -2,7 +2,7 @@
 #include "journal.hpp"
 #include "relay_harness.hpp"
 
-namespace heronvane::testing {
+namespace message_relay::testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -1044,4 +1044,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane::testing
+}  // namespace message_relay::testing
--- a/tests/request_test.cpp
+++ b/tests/request_test.cpp
@@ -7,7 +7,7 @@
 
 #include "framing.hpp"
 
-namespace heronvane {
+namespace message_relay {
 namespace {
 
 namespace http = boost::beast::http;
@@ -32,8 +32,8 @@
     handed = read_message(parser.get(), settings, names);
     return handed.refused > 0 ? handed.refused : 202;
   }
-  cedarplank::Settings settings;
-  cedarplank::adapter::Tables names;
+  dispatch::Settings settings;
+  configuration::Tables names;
   Handed handed;
 };
 
@@ -96,4 +96,4 @@
 }
 
 }  // namespace
-}  // namespace heronvane
+}  // namespace message_relay
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,7 +1,7 @@
 // The six rules, each with events that break it where its guard is taken out.
 #include "harness.hpp"
 
-namespace cedarplank::testing {
+namespace dispatch::testing {
 namespace {
 
 TEST(Lost, HeldMessageEndsByItsDeadline) {
@@ -250,4 +250,4 @@
 }
 
 }  // namespace
-}  // namespace cedarplank::testing
+}  // namespace dispatch::testing
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -11,7 +11,7 @@
 #include "meters.hpp"
 #include "slopes.hpp"
 
-namespace yarrowwood::scale {
+namespace scale_tool {
 namespace {
 
 TEST(LeastSquares, FindsTheLineAndWhatIsOffIt) {
@@ -57,7 +57,7 @@
 };
 Ran run(const std::string& arguments) {
   Ran ran;
-  FILE* out = ::popen((std::string(YARROWWOOD_SCALE_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  FILE* out = ::popen((std::string(SCALE_TOOL_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
   if (out == nullptr) return ran;
   std::array<char, 4096> part{};
   while (const auto n = std::fread(part.data(), 1, part.size(), out)) ran.said.append(part.data(), n);
@@ -83,7 +83,7 @@
     std::ofstream(file) << text;
     const Ran ran = run("slopes --experiment " + file);
     EXPECT_EQ(ran.status, 2) << text;
-    EXPECT_NE(ran.said.find("yarrowwood_scale: " + file + problem), std::string::npos) << ran.said;
+    EXPECT_NE(ran.said.find("scale_tool: " + file + problem), std::string::npos) << ran.said;
   }
 }
 
@@ -129,7 +129,7 @@
       all.endpoints = all.messages = {200, 400, 800};
       all.destinations_down = all.calls_out = all.recalled = all.batch = {4, 8};
       all.watched = {kMany, kTooMany}, all.rates = {10, 20};
-      all.relay_program = HERONVANE_PROGRAM;
+      all.relay_program = MESSAGE_RELAY_PROGRAM;
       return all;
     }();
     return s;
@@ -182,4 +182,4 @@
 }
 
 }  // namespace
-}  // namespace yarrowwood::scale
+}  // namespace scale_tool
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,8 +10,8 @@
   clang-format --dry-run --Werror "${files[@]}"
 fi
 if [[ $what == tidy || $what == all ]]; then
-  cmake -B build-lint -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON -DCEDARPLANK_TESTS=ON \
-    -DYARROWWOOD_SCALE=ON >/dev/null
+  cmake -B build-lint -DCMAKE_BUILD_TYPE=Release -DCMAKE_EXPORT_COMPILE_COMMANDS=ON -DMESSAGE_RELAY_BUILD_TESTS=ON \
+    -DMESSAGE_RELAY_BUILD_SCALE_TOOL=ON >/dev/null
   git ls-files '*.cpp' | grep -v '^tests/consumer/' |
     xargs -P "$(nproc)" -n 1 clang-tidy -p build-lint --quiet
 fi
