--- a/adapter/codec.hpp
+++ b/adapter/codec.hpp
@@ -18,7 +18,7 @@
   ~Codec();
 
   // Takes one line. Returns true when the line ends a batch: `reply` then holds the whole answer.
-  // Throws WireError on malformed input.
+  // Throws FieldError on malformed input.
   bool take(const std::string& line, std::string& reply);
 
  private:
--- a/configuration/settings_reader.cpp
+++ b/configuration/settings_reader.cpp
@@ -5,66 +5,69 @@
 namespace configuration {
 
 using dispatch::ClassSettings;
-using dispatch::Decay;
-using dispatch::Effect;
-using dispatch::KeyGroup;
+using dispatch::Idempotency;
+using dispatch::KeyScope;
 using dispatch::Settings;
+using dispatch::ValueDecay;
 using dispatch::WeightKind;
 
 namespace {
 
-Names names_of(const Value& object, const char* name, const std::string& path) {
-  Names names;
-  const Value* list = find(object, name);
+NameIndex names_of(const JsonValue& object, const char* name, const std::string& path) {
+  NameIndex names;
+  const JsonValue* list = find_member(object, name);
   if (list == nullptr) return names;
   for (const auto& v : as_array(*list, path + "." + name).GetArray())
-    names.emplace(as_text(v, path + "." + name), static_cast<int>(names.size()));
+    names.emplace(as_string(v, path + "." + name), static_cast<int>(names.size()));
   return names;
 }
-ClassSettings read_class(const Value& v, const std::string& path) {
+ClassSettings read_class(const JsonValue& v, const std::string& path) {
   ClassSettings c;
-  c.worth = get(v, "Points", path, as_number);
-  c.late_worth = get(v, "LateWorth", path, as_number, 0.0);
-  c.aim = get(v, "Target", path, as_integer);
-  c.deadline = get(v, "Deadline", path, as_integer);
-  c.effect = word<Effect>(
-      get(v, "Idempotency", path, as_text),
-      {{"read_like", Effect::safe}, {"idempotency_key", Effect::keyed}, {"non_idempotent", Effect::unsafe}},
-      path + ".Idempotency");
-  c.group = word<KeyGroup>(get(v, "Group", path, as_text, "all"),
-                           {{"all", KeyGroup::all}, {"zone", KeyGroup::zone}, {"cell", KeyGroup::cell}},
-                           path + ".Group");
-  c.key_window = get(v, "Window", path, as_integer, 0);
-  c.ordered = get(v, "FifoByKey", path, as_bool, false);
+  c.priority_weight = read_member(v, "Points", path, as_double);
+  c.late_weight_fraction = read_member(v, "LateWorth", path, as_double, 0.0);
+  c.latency_objective = read_member(v, "Target", path, as_integer);
+  c.deadline = read_member(v, "Deadline", path, as_integer);
+  c.idempotency = parse_enum<Idempotency>(read_member(v, "Idempotency", path, as_string),
+                                          {{"read_like", Idempotency::idempotent},
+                                           {"idempotency_key", Idempotency::by_key},
+                                           {"non_idempotent", Idempotency::none}},
+                                          path + ".Idempotency");
+  c.key_scope = parse_enum<KeyScope>(
+      read_member(v, "Group", path, as_string, "all"),
+      {{"all", KeyScope::all}, {"zone", KeyScope::zone}, {"cell", KeyScope::cell}}, path + ".Group");
+  c.idempotency_window = read_member(v, "Window", path, as_integer, 0);
+  c.ordered = read_member(v, "FifoByKey", path, as_bool, false);
   return c;
 }
 
 // A list with one value for each kind, or nothing.
-const Value* per_kind(const Value& family, const char* name, const std::string& path) {
-  const Value* v = find(family, name);
+const JsonValue* per_kind(const JsonValue& family, const char* name, const std::string& path) {
+  const JsonValue* v = find_member(family, name);
   return v == nullptr ? nullptr : &as_array(*v, path + "." + name);
 }
 
 }  // namespace
 
-int position(const Names& names, const std::string& name) {
+int index_of(const NameIndex& names, const std::string& name) {
   const auto it = names.find(name);
   return it == names.end() ? -1 : it->second;
 }
 
-Settings read_settings(const Value& v, const std::string& path, Tables& tables) {
+Settings read_settings(const JsonValue& v, const std::string& path, SettingNames& tables) {
   as_object(v, path);
   Settings s;
-  for (const auto& c : as_array(need(v, "Classes", path), path + ".Classes").GetArray()) {
+  for (const auto& c : as_array(required_member(v, "Classes", path), path + ".Classes").GetArray()) {
     as_object(c, path + ".Classes");
-    tables.classes.emplace(get(c, "Name", path + ".Classes", as_text), static_cast<int>(s.classes.size()));
+    tables.classes.emplace(read_member(c, "Name", path + ".Classes", as_string),
+                           static_cast<int>(s.classes.size()));
     s.classes.push_back(read_class(c, path + ".Classes"));
   }
-  if (const Value* tenants = find(v, "Tenants")) {
+  if (const JsonValue* tenants = find_member(v, "Tenants")) {
     for (const auto& t : as_array(*tenants, path + ".Tenants").GetArray()) {
       as_object(t, path + ".Tenants");
-      tables.tenants.emplace(get(t, "Name", path + ".Tenants", as_text), static_cast<int>(s.tenants.size()));
-      s.tenants.push_back({get(t, "QuotaPerS", path + ".Tenants", as_number, 0.0)});
+      tables.tenants.emplace(read_member(t, "Name", path + ".Tenants", as_string),
+                             static_cast<int>(s.tenants.size()));
+      s.tenants.push_back({read_member(t, "QuotaPerS", path + ".Tenants", as_double, 0.0)});
     }
   }
   tables.zones = names_of(v, "FailureDomains", path);
@@ -72,56 +75,58 @@
   s.kinds.resize(std::max<std::size_t>(1, tables.kinds.size()));
 
   const std::string family_path = path + ".FamilyInfo";
-  const Value& family = as_object(need(v, "FamilyInfo", path), family_path);
-  const Value* apart = per_kind(family, "RoutesApart", family_path);
-  const Value* bundle = per_kind(family, "BundleMax", family_path);
+  const JsonValue& family = as_object(required_member(v, "FamilyInfo", path), family_path);
+  const JsonValue* apart = per_kind(family, "RoutesApart", family_path);
+  const JsonValue* bundle = per_kind(family, "BundleMax", family_path);
   for (rapidjson::SizeType i = 0; i < s.kinds.size(); i++) {
     if (apart != nullptr && i < apart->Size())
-      s.kinds[i].routes_apart = as_bool((*apart)[i], family_path + ".RoutesApart");
+      s.kinds[i].independent_routes = as_bool((*apart)[i], family_path + ".RoutesApart");
     if (bundle != nullptr && i < bundle->Size())
-      s.kinds[i].bundle_max = as_int((*bundle)[i], family_path + ".BundleMax");
+      s.kinds[i].max_batch_size = as_int((*bundle)[i], family_path + ".BundleMax");
   }
-  s.slots = get(family, "Workers", family_path, as_int);
-  s.decay = word<Decay>(get(family, "Decay", family_path, as_text, "line"),
-                        {{"line", Decay::line}, {"halves", Decay::halves}}, family_path + ".Decay");
-  if (const Value* toll = per_kind(family, "Toll", family_path))
-    for (const auto& fee : toll->GetArray()) s.zone_fees.push_back(as_number(fee, family_path + ".Toll"));
+  s.max_calls_in_flight = read_member(family, "Workers", family_path, as_int);
+  s.decay = parse_enum<ValueDecay>(read_member(family, "Decay", family_path, as_string, "line"),
+                                   {{"line", ValueDecay::linear}, {"halves", ValueDecay::exponential}},
+                                   family_path + ".Decay");
+  if (const JsonValue* toll = per_kind(family, "Toll", family_path))
+    for (const auto& fee : toll->GetArray()) s.zone_costs.push_back(as_double(fee, family_path + ".Toll"));
 
   const std::string limits_path = path + ".Limits";
-  const Value& limits = as_object(need(v, "Limits", path), limits_path);
-  s.open_max = get(limits, "OpenCap", limits_path, as_int);
-  s.attempts_max = get(limits, "MaxAttempts", limits_path, as_int);
-  s.second_copies = get(limits, "SecondCopies", limits_path, as_bool, false);
-  s.cancelling = get(limits, "Cancelling", limits_path, as_bool, false);
-  s.probes = get(limits, "Probes", limits_path, as_bool, false);
-  s.peers = get(limits, "Peers", limits_path, as_bool, false);
-  s.connect_timeout = get(limits, "ConnectTimeout", limits_path, as_integer, s.connect_timeout);
-  s.connection_idle = get(limits, "ConnIdle", limits_path, as_integer, s.connection_idle);
-  s.retry_after_max = get(limits, "MaxRetryAfter", limits_path, as_integer, 0);
+  const JsonValue& limits = as_object(required_member(v, "Limits", path), limits_path);
+  s.max_open_messages = read_member(limits, "OpenCap", limits_path, as_int);
+  s.max_attempts = read_member(limits, "MaxAttempts", limits_path, as_int);
+  s.hedged_requests = read_member(limits, "SecondCopies", limits_path, as_bool, false);
+  s.cancellation = read_member(limits, "Cancelling", limits_path, as_bool, false);
+  s.health_checks = read_member(limits, "Probes", limits_path, as_bool, false);
+  s.gossip = read_member(limits, "Peers", limits_path, as_bool, false);
+  s.connect_timeout = read_member(limits, "ConnectTimeout", limits_path, as_integer, s.connect_timeout);
+  s.connection_idle_timeout =
+      read_member(limits, "ConnIdle", limits_path, as_integer, s.connection_idle_timeout);
+  s.max_retry_after = read_member(limits, "MaxRetryAfter", limits_path, as_integer, 0);
 
   const std::string rules_path = path + ".Rules";
-  const Value& rules = as_object(need(v, "Rules", path), rules_path);
-  s.answer_slack = get(rules, "AnswerSlack", rules_path, as_integer, 0);
-  s.drain_grace = get(rules, "DrainGrace", rules_path, as_integer, 0);
-  s.must_ask_in = get(rules, "MustAskIn", rules_path, as_integer, 0);
-  s.settle_after_doubt = get(rules, "SettleAfterDoubt", rules_path, as_integer, 0);
-  s.fall_multiple = get(rules, "FallMultiple", rules_path, as_number, s.fall_multiple);
-  s.overload_for = get(rules, "OverloadFor", rules_path, as_integer, s.overload_for);
-  s.cold_from = get(rules, "ColdFrom", rules_path, as_number, s.cold_from);
-  s.cold = get(rules, "Cold", rules_path, as_integer, s.cold);
+  const JsonValue& rules = as_object(required_member(v, "Rules", path), rules_path);
+  s.answer_slack = read_member(rules, "AnswerSlack", rules_path, as_integer, 0);
+  s.drain_grace = read_member(rules, "DrainGrace", rules_path, as_integer, 0);
+  s.max_poll_interval = read_member(rules, "MustAskIn", rules_path, as_integer, 0);
+  s.order_key_quiet_period = read_member(rules, "SettleAfterDoubt", rules_path, as_integer, 0);
+  s.overload_multiple = read_member(rules, "FallMultiple", rules_path, as_double, s.overload_multiple);
+  s.overload_duration = read_member(rules, "OverloadFor", rules_path, as_integer, s.overload_duration);
+  s.slow_start_capacity = read_member(rules, "ColdFrom", rules_path, as_double, s.slow_start_capacity);
+  s.slow_start_duration = read_member(rules, "Cold", rules_path, as_integer, s.slow_start_duration);
 
-  s.over_share_worth = get(v, "OverShareWorth", path, as_number, 1.0);
-  s.relays = get(v, "GroupSize", path, as_int, 1);
-  s.rank = get(v, "Rank", path, as_int, 0);
-  s.zone = position(tables.zones, get(v, "Locality", path, as_text, ""));
-  s.tick = get(v, "Tick", path, as_integer, s.tick);
-  s.subscribe = get(v, "Discovery", path, as_text, "automatic") == "subscribe";
-  s.weights = word<WeightKind>(get(v, "WeightKind", path, as_text, "none"),
-                               {{"none", WeightKind::none},
-                                {"nominal", WeightKind::nominal},
-                                {"rough", WeightKind::rough},
-                                {"live", WeightKind::none}},
-                               path + ".WeightKind");
+  s.over_quota_weight_fraction = read_member(v, "OverShareWorth", path, as_double, 1.0);
+  s.relay_count = read_member(v, "GroupSize", path, as_int, 1);
+  s.relay_index = read_member(v, "Rank", path, as_int, 0);
+  s.zone = index_of(tables.zones, read_member(v, "Locality", path, as_string, ""));
+  s.min_round_interval = read_member(v, "Tick", path, as_integer, s.min_round_interval);
+  s.subscribes_to_list = read_member(v, "Discovery", path, as_string, "automatic") == "subscribe";
+  s.weights = parse_enum<WeightKind>(read_member(v, "WeightKind", path, as_string, "none"),
+                                     {{"none", WeightKind::none},
+                                      {"nominal", WeightKind::nominal},
+                                      {"rough", WeightKind::rough},
+                                      {"live", WeightKind::none}},
+                                     path + ".WeightKind");
   return s;
 }
 
--- a/configuration/settings_reader.hpp
+++ b/configuration/settings_reader.hpp
@@ -9,17 +9,17 @@
 
 namespace configuration {
 
-using Names = std::unordered_map<std::string, int>;
+using NameIndex = std::unordered_map<std::string, int>;
 
 // Where each name stands in the lists of the settings.
-struct Tables {
-  Names classes, tenants, zones, kinds;
+struct SettingNames {
+  NameIndex classes, tenants, zones, kinds;
 };
 
 // The position of a name, -1 where it is unknown.
-int position(const Names& names, const std::string& name);
+int index_of(const NameIndex& names, const std::string& name);
 
-// Throws WireError, naming the field, on what can't be read.
-dispatch::Settings read_settings(const Value& v, const std::string& path, Tables& tables);
+// Throws FieldError, naming the field, on what can't be read.
+dispatch::Settings read_settings(const JsonValue& v, const std::string& path, SettingNames& tables);
 
 }  // namespace configuration
--- a/relay/packing.hpp
+++ b/relay/binary_format.hpp
@@ -12,14 +12,14 @@
 
 static_assert(std::endian::native == std::endian::little);
 
-class Packer {
+class BinaryWriter {
  public:
   template <class T>
-  Packer& number(T v) {
+  BinaryWriter& number(T v) {
     text_.append(reinterpret_cast<const char*>(&v), sizeof v);
     return *this;
   }
-  Packer& text(const std::string& s) {
+  BinaryWriter& text(const std::string& s) {
     number(static_cast<std::uint32_t>(s.size()));
     text_ += s;
     return *this;
@@ -31,9 +31,9 @@
 };
 
 // Throws std::runtime_error where less stands there than is asked for.
-class Unpacker {
+class BinaryReader {
  public:
-  explicit Unpacker(const std::string& text) : text_(text) {}
+  explicit BinaryReader(const std::string& text) : text_(text) {}
   template <class T>
   T number() {
     T v;
--- a/relay/recent.hpp
+++ b/relay/completed_ids.hpp
@@ -11,9 +11,9 @@
 
 namespace message_relay {
 
-class RecentIds {
+class CompletedIds {
  public:
-  explicit RecentIds(Time kept) : kept_(kept) {}
+  explicit CompletedIds(Time kept) : kept_(kept) {}
   void add(const std::string& id, Time now) {
     while (!order_.empty() && (now >= order_.front().first || order_.size() >= kMost)) {
       ids_.erase(order_.front().second);
@@ -22,12 +22,12 @@
     if (ids_.insert(id).second) order_.emplace_back(now + kept_, id);
   }
   // As another process may go on with: when each is forgotten, and its id.
-  const std::deque<std::pair<Time, std::string>>& all() const { return order_; }
+  const std::deque<std::pair<Time, std::string>>& entries() const { return order_; }
   void restore(const std::vector<std::pair<Time, std::string>>& all) {
     for (const auto& [until, id] : all)
       if (ids_.insert(id).second) order_.emplace_back(until, id);
   }
-  bool has(const std::string& id) const { return ids_.count(id) > 0; }
+  bool contains(const std::string& id) const { return ids_.count(id) > 0; }
   std::size_t size() const { return ids_.size(); }
 
  private:
--- a/relay/config.hpp
+++ b/relay/config.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "dispatch/dispatcher.hpp"
-#include "members.hpp"
+#include "endpoint_list.hpp"
 #include "settings_reader.hpp"
 
 namespace message_relay {
@@ -27,9 +27,9 @@
   std::optional<boost::asio::ip::udp::endpoint> peer_listen, peers_all;
   std::vector<boost::asio::ip::udp::endpoint> peers;  // by rank
   dispatch::Settings settings;
-  configuration::Tables names;
-  bool reports_in_answers = false;
-  MemberList known;
+  configuration::SettingNames setting_names;
+  bool load_reports_in_responses = false;
+  EndpointList cached_list;
 };
 
 // Throws std::exception whose text names the field that can't be read.
--- a/relay/calls.cpp
+++ b/relay/delivery_client.cpp
@@ -1,4 +1,4 @@
-#include "calls.hpp"
+#include "delivery_client.hpp"
 
 #include <rapidjson/document.h>
 #include <rapidjson/stringbuffer.h>
@@ -10,7 +10,7 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
-#include "answer.hpp"
+#include "response_reader.hpp"
 
 namespace message_relay {
 
@@ -41,7 +41,7 @@
   return text;
 }
 
-std::string bundle_body(const std::vector<Outgoing>& messages) {
+std::string bundle_body(const std::vector<OutgoingMessage>& messages) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
   const auto text = [&w](const char* key, const std::string& v) {
@@ -50,8 +50,8 @@
   w.StartArray();
   for (const auto& m : messages) {
     w.StartObject();
-    text("id", m.wire_id);
-    if (!m.key.empty()) text("key", m.key);
+    text("id", m.client_id);
+    if (!m.idempotency_key.empty()) text("key", m.idempotency_key);
     text("body", base64(m.body));
     w.EndObject();
   }
@@ -61,15 +61,15 @@
 
 }  // namespace
 
-struct Calls::Connection {
+struct DeliveryClient::Connection {
   explicit Connection(net::io_context& io) : socket(io) {}
   tcp::socket socket;
   tcp::endpoint address;
   Time idle_since = 0;
 };
 
-struct Calls::Call {
-  Call(net::io_context& io, EndpointId e, std::vector<Outgoing> m)
+struct DeliveryClient::Call {
+  Call(net::io_context& io, EndpointId e, std::vector<OutgoingMessage> m)
       : endpoint(std::move(e)),
         messages(std::move(m)),
         over(messages.size(), false),
@@ -80,7 +80,7 @@
   enum class Stage { connecting, writing, waiting, done };
 
   EndpointId endpoint;
-  std::vector<Outgoing> messages;
+  std::vector<OutgoingMessage> messages;
   std::vector<bool> over;  // its outcome was told
   // Given up while others of the call are waited for: told when the call ends, since until then it is out.
   std::vector<std::optional<Outcome>> given_up;
@@ -90,43 +90,45 @@
   std::shared_ptr<Connection> connection;
   net::steady_timer timer;
   http::request<http::string_body> request;
-  AnswerReader answer;
+  ResponseReader answer;
   std::string seen;     // of the answer, as it came
   Time answer_due = 0;  // for the rest of an answer that has begun; 0: none has
   bool sound = false;   // the connection may be used again
   Time told_wait = 0;
-  dispatch::Report report;
+  dispatch::LoadReport report;
 
   // One message is delivered by the answer's first line, several by the whole of it.
-  bool delivered() const { return messages.size() == 1 && answer.says_ok(); }
-  Time connect_due(const CallLimits& limits) const { return sent + limits.connect_timeout; }
+  bool delivered() const { return messages.size() == 1 && answer.status_line_ok(); }
+  Time connect_due(const DeliveryLimits& limits) const { return sent + limits.connect_timeout; }
 };
 
-Calls::Calls(net::io_context& io, const CallLimits& limits, Ended ended)
+DeliveryClient::DeliveryClient(net::io_context& io, const DeliveryLimits& limits, Ended ended)
     : io_(io), limits_(limits), ended_(std::move(ended)), odd_(io, "odd answers"), sweep_timer_(io) {}
-Calls::~Calls() = default;
+DeliveryClient::~DeliveryClient() = default;
 
-void Calls::locate(const EndpointId& endpoint, const tcp::endpoint& address) {
+void DeliveryClient::set_address(const EndpointId& endpoint, const tcp::endpoint& address) {
   Place& place = places_[endpoint];
   if (place.address == address) return;
   place.address = address;
   close_idle(endpoint);
 }
 
-void Calls::forget(const EndpointId& endpoint) {
+void DeliveryClient::forget(const EndpointId& endpoint) {
   close_idle(endpoint);
   places_.erase(endpoint);
 }
 
-void Calls::send(const EndpointId& endpoint, std::vector<Outgoing> messages) {
+void DeliveryClient::send(const EndpointId& endpoint, std::vector<OutgoingMessage> messages) {
   // An answer that comes when one of several is over delivers none of them, though it says so.
   if (messages.size() > 1) {
-    const auto sooner = [](const Outgoing& a, const Outgoing& b) { return a.left < b.left; };
-    const Time left = std::min_element(messages.begin(), messages.end(), sooner)->left;
+    const auto sooner = [](const OutgoingMessage& a, const OutgoingMessage& b) {
+      return a.time_to_deadline < b.time_to_deadline;
+    };
+    const Time left = std::min_element(messages.begin(), messages.end(), sooner)->time_to_deadline;
     for (auto& m : messages) m.timeout = std::min(m.timeout, left);
   }
   const auto call = std::make_shared<Call>(io_, endpoint, std::move(messages));
-  const bool room = out_.size() < limits_.slots && places_.count(endpoint) > 0;
+  const bool room = out_.size() < limits_.max_calls_in_flight && places_.count(endpoint) > 0;
   if (room) out_.insert(call);
   net::post(io_, [this, call, room] {
     if (call->stage == Call::Stage::done) return;
@@ -135,7 +137,7 @@
   });
 }
 
-void Calls::begin(const std::shared_ptr<Call>& call) {
+void DeliveryClient::begin(const std::shared_ptr<Call>& call) {
   const auto found = places_.find(call->endpoint);
   if (found == places_.end()) return end_all(call, Outcome::not_sent);
   Place& place = found->second;
@@ -160,16 +162,16 @@
   connect(call, place.address);
 }
 
-void Calls::begin_at(const std::shared_ptr<Call>& call, Time when) {
+void DeliveryClient::begin_at(const std::shared_ptr<Call>& call, Time when) {
   call->timer.expires_after(span(std::max<Time>(when - steady_now(), 0)));
   call->timer.async_wait([this, call](error_code bad) {
     if (!bad && call->stage != Call::Stage::done) begin(call);
   });
 }
 
-void Calls::connect(const std::shared_ptr<Call>& call, const tcp::endpoint& address) {
+void DeliveryClient::connect(const std::shared_ptr<Call>& call, const tcp::endpoint& address) {
   // Calls out come first: kept connections make room for theirs.
-  while (out_.size() + kept_ > limits_.connections && drop_longest_idle()) {
+  while (out_.size() + kept_ > limits_.max_connections && drop_longest_idle()) {
   }
   call->connection = std::make_shared<Connection>(io_);
   call->connection->address = address;
@@ -183,11 +185,11 @@
   });
 }
 
-void Calls::write(const std::shared_ptr<Call>& call) {
+void DeliveryClient::write(const std::shared_ptr<Call>& call) {
   end_late(call);
   if (call->stage == Call::Stage::done) return;
   // Those that ended while the connection came up stay out of the call.
-  std::vector<Outgoing> live;
+  std::vector<OutgoingMessage> live;
   Time longest = 0;
   for (std::size_t i = 0; i < call->messages.size(); i++) {
     if (call->over[i]) continue;
@@ -205,8 +207,9 @@
   request.set(http::field::host, "origin.svc");
   request.set("X-Deadline", std::to_string(longest) + "u");
   if (single) {
-    request.set("X-Request-Id", call->messages[0].wire_id);
-    if (!call->messages[0].key.empty()) request.set("Idempotency-Key", call->messages[0].key);
+    request.set("X-Request-Id", call->messages[0].client_id);
+    if (!call->messages[0].idempotency_key.empty())
+      request.set("Idempotency-Key", call->messages[0].idempotency_key);
     request.body() = std::move(call->messages[0].body);
   } else {
     request.set(http::field::content_type, "application/json");
@@ -225,17 +228,17 @@
   });
 }
 
-void Calls::read(const std::shared_ptr<Call>& call) {
+void DeliveryClient::read(const std::shared_ptr<Call>& call) {
   call->connection->socket.async_wait(tcp::socket::wait_read, [this, call](error_code bad) {
     if (call->stage == Call::Stage::done) return;
-    using State = AnswerReader::State;
+    using State = ResponseReader::State;
     State state = State::broken;
     if (!bad) {
       const std::size_t size = call->connection->socket.read_some(net::buffer(chunk_), bad);
       if (bad == net::error::would_block) return read(call);
-      state = bad == net::error::eof ? call->answer.end()
+      state = bad == net::error::eof ? call->answer.finish()
               : bad                  ? State::broken
-                                     : call->answer.put(chunk_.data(), size);
+                                     : call->answer.append(chunk_.data(), size);
       if (!bad) call->seen.append(chunk_.data(), size);
     }
     came(call, state);
@@ -243,11 +246,11 @@
 }
 
 // Goes on by what has come of the answer.
-void Calls::came(const std::shared_ptr<Call>& call, AnswerReader::State state) {
-  using State = AnswerReader::State;
+void DeliveryClient::came(const std::shared_ptr<Call>& call, ResponseReader::State state) {
+  using State = ResponseReader::State;
   if (state == State::whole) return answered(call);
   if (state == State::broken) return broken(call);
-  const bool begun = call->answer.begun();
+  const bool begun = call->answer.has_started();
   if (begun != (call->answer_due > 0)) {
     call->answer_due = begun ? steady_now() + kAnswerTime : 0;
     arm(call);
@@ -256,28 +259,28 @@
 }
 
 // The stream can't be trusted any more: what was sent may have run, whatever the first line said but 200.
-void Calls::broken(const std::shared_ptr<Call>& call) {
-  if (call->answer.has_head()) call->told_wait = call->answer.told_wait();
-  odd_.add("answer broken");
+void DeliveryClient::broken(const std::shared_ptr<Call>& call) {
+  if (call->answer.has_head()) call->told_wait = call->answer.retry_after();
+  odd_.count("answer broken");
   end_all(call, Outcome::reset);
 }
 
-void Calls::answered(const std::shared_ptr<Call>& call) {
-  const AnswerReader& answer = call->answer;
-  call->told_wait = answer.told_wait();
-  if (limits_.reports) call->report = answer.report();
+void DeliveryClient::answered(const std::shared_ptr<Call>& call) {
+  const ResponseReader& answer = call->answer;
+  call->told_wait = answer.retry_after();
+  if (limits_.load_reports_in_responses) call->report = answer.load_report();
   call->sound = answer.reusable();
   const auto connection = call->connection;
   const unsigned status = answer.status();
   switch (status) {
     case 200:
-      call->messages.size() > 1 ? answered_bundle(call) : end_all(call, Outcome::served, true);
+      call->messages.size() > 1 ? answered_bundle(call) : end_all(call, Outcome::succeeded, true);
       break;
     case 429:
-      end_all(call, Outcome::full);
+      end_all(call, Outcome::rejected);
       break;
     case 503:
-      end_all(call, answer.line_busy() ? Outcome::not_sent : Outcome::full);
+      end_all(call, answer.line_busy() ? Outcome::not_sent : Outcome::rejected);
       break;
     case 504:
       end_all(call, Outcome::not_sent);
@@ -287,27 +290,27 @@
       break;
     case 400:
     case 413:
-      odd_.add("request turned down");
+      odd_.count("request turned down");
       end_all(call, Outcome::not_sent);
       break;
     case 500:
       end_all(call, Outcome::error);
       break;
     default:
-      odd_.add("unknown status");
+      odd_.count("unknown status");
       call->sound = false;
       end_all(call, Outcome::error);
   }
   if (call->sound) keep(call->endpoint, connection);
 }
 
-void Calls::answered_bundle(const std::shared_ptr<Call>& call) {
+void DeliveryClient::answered_bundle(const std::shared_ptr<Call>& call) {
   rapidjson::Document v;
   const std::string& body = call->answer.body();
   // Not by recursion, which thousands of open brackets would take past the stack's end.
   v.Parse<rapidjson::kParseIterativeFlag>(body.data(), body.size());
   if (v.HasParseError() || !v.IsArray()) {
-    odd_.add("bundle's answer can't be read");
+    odd_.count("bundle's answer can't be read");
     call->sound = false;
     return end_all(call, Outcome::reset);
   }
@@ -320,11 +323,11 @@
       states[id->value.GetString()] = state->value.GetString();
   }
   for (std::size_t i = 0; i < call->messages.size(); i++) {
-    const std::string& state = states[call->messages[i].wire_id];
+    const std::string& state = states[call->messages[i].client_id];
     if (state == "done")
-      end(call, i, Outcome::served, true);
+      end(call, i, Outcome::succeeded, true);
     else if (state == "busy")
-      end(call, i, Outcome::full);
+      end(call, i, Outcome::rejected);
     else if (state == "void")
       end(call, i, Outcome::not_sent, true);
     else if (state == "used_up")
@@ -335,7 +338,7 @@
 }
 
 // Waits for what comes first: the connection's time, or that of one of the messages.
-void Calls::arm(const std::shared_ptr<Call>& call) {
+void DeliveryClient::arm(const std::shared_ptr<Call>& call) {
   if (call->stage == Call::Stage::done) return;
   Time due = steady_now() + kNever;
   for (std::size_t i = 0; i < call->messages.size(); i++)
@@ -343,7 +346,7 @@
   if (call->stage == Call::Stage::connecting) {
     due = std::min(due, call->connect_due(limits_));
     for (std::size_t i = 0; i < call->messages.size(); i++)
-      if (!call->over[i]) due = std::min(due, call->messages[i].begin_by);
+      if (!call->over[i]) due = std::min(due, call->messages[i].start_by);
   }
   if (call->answer_due > 0) due = std::min(due, call->answer_due);
   call->timer.expires_after(span(std::max<Time>(due - steady_now(), 0)));
@@ -362,21 +365,21 @@
   });
 }
 
-void Calls::end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed) {
+void DeliveryClient::end(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome, bool closed) {
   if (call->over[part]) return;
   call->over[part] = true;
   const bool given_up =
       outcome == Outcome::reset || outcome == Outcome::timeout || outcome == Outcome::cancelled;
-  if (given_up && call->delivered()) outcome = Outcome::served, closed = true;
+  if (given_up && call->delivered()) outcome = Outcome::succeeded, closed = true;
   dispatch::event::AttemptEnded e;
   e.id = call->messages[part].id;
   e.attempt = call->messages[part].attempt;
   e.endpoint = call->endpoint;
   e.outcome = outcome;
   e.latency = steady_now() - call->sent;
-  e.closed = closed;
-  e.told_wait = call->told_wait;
-  e.report = call->report;
+  e.message_settled = closed;
+  e.retry_after = call->told_wait;
+  e.load_report = call->report;
   if (--call->left == 0) {
     call->stage = Call::Stage::done;
     call->timer.cancel();
@@ -389,20 +392,20 @@
   ended_(e);
 }
 
-void Calls::end_all(const std::shared_ptr<Call>& call, Outcome outcome, bool closed) {
+void DeliveryClient::end_all(const std::shared_ptr<Call>& call, Outcome outcome, bool closed) {
   for (std::size_t i = 0; i < call->messages.size(); i++) end(call, i, outcome, closed);
 }
 
 // Of a call that has not begun, the messages that may not be begun any more stay out.
-void Calls::end_late(const std::shared_ptr<Call>& call) {
+void DeliveryClient::end_late(const std::shared_ptr<Call>& call) {
   const Time now = steady_now();
   for (std::size_t i = 0; i < call->messages.size(); i++)
-    if (now >= call->messages[i].begin_by) end(call, i, Outcome::not_sent);
+    if (now >= call->messages[i].start_by) end(call, i, Outcome::not_sent);
 }
 
 // A message that was written is out until its call ends, by an answer or with its connection: one that was
 // told before could be sent again beside it. What never went out ends at once.
-void Calls::give_up(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome) {
+void DeliveryClient::give_up(const std::shared_ptr<Call>& call, std::size_t part, Outcome outcome) {
   if (call->stage == Call::Stage::connecting) return end(call, part, outcome);
   if (call->over[part] || call->given_up[part]) return;
   call->given_up[part] = outcome;
@@ -412,7 +415,7 @@
     if (!call->over[i]) end(call, i, *call->given_up[i]);
 }
 
-void Calls::cancel(MessageId id, int attempt) {
+void DeliveryClient::cancel(MessageId id, int attempt) {
   for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
     for (std::size_t i = 0; i < call->messages.size(); i++)
       if (!call->over[i] && call->messages[i].id == id && call->messages[i].attempt == attempt) {
@@ -421,57 +424,57 @@
       }
 }
 
-void Calls::hold_back(const EndpointId& endpoint) {
+void DeliveryClient::cancel_unsent(const EndpointId& endpoint) {
   for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
     if (call->endpoint == endpoint && call->stage == Call::Stage::connecting)
       end_all(call, Outcome::not_sent);
 }
 
-void Calls::hold_back_unwritten() {
+void DeliveryClient::cancel_all_unsent() {
   for (const auto& call : std::vector<std::shared_ptr<Call>>(out_.begin(), out_.end()))
     if (call->stage == Call::Stage::connecting || call->stage == Call::Stage::writing)
       end_all(call, Outcome::not_sent);
 }
 
-bool Calls::all_written() const {
+bool DeliveryClient::all_calls_written() const {
   return std::all_of(out_.begin(), out_.end(),
                      [](const auto& c) { return c->stage == Call::Stage::waiting; });
 }
 
-std::vector<OpenCall> Calls::open_calls() const {
-  std::vector<OpenCall> open;
+std::vector<InFlightCall> DeliveryClient::in_flight_calls() const {
+  std::vector<InFlightCall> open;
   for (const auto& call : out_) {
     if (call->stage != Call::Stage::waiting) continue;
     open.push_back({call->connection->socket.native_handle(), call->endpoint, call->connection->address,
                     call->sent, call->answer_due, call->seen, call->messages, call->given_up});
   }
-  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.sent < b.sent; });
+  std::sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.sent_at < b.sent_at; });
   return open;
 }
 
-void Calls::adopt(const OpenCall& open) {
+void DeliveryClient::adopt(const InFlightCall& open) {
   const auto call = std::make_shared<Call>(io_, open.endpoint, open.messages);
   call->connection = std::make_shared<Connection>(io_);
   call->connection->address = open.address;
   error_code bad;
   call->connection->socket.assign(open.address.protocol(), open.socket, bad);
   if (!bad) call->connection->socket.non_blocking(true, bad);
-  call->sent = open.sent, call->answer_due = open.answer_due;
-  call->seen = open.seen, call->given_up = open.given_up;
+  call->sent = open.sent_at, call->answer_due = open.response_due;
+  call->seen = open.response_bytes, call->given_up = open.given_up;
   call->stage = Call::Stage::waiting;
   out_.insert(call);
-  const auto state = call->answer.put(open.seen.data(), open.seen.size());
+  const auto state = call->answer.append(open.response_bytes.data(), open.response_bytes.size());
   arm(call);
   net::post(io_, [this, call, state, bad] {
-    if (call->stage != Call::Stage::done) came(call, bad ? AnswerReader::State::broken : state);
+    if (call->stage != Call::Stage::done) came(call, bad ? ResponseReader::State::broken : state);
   });
 }
 
-void Calls::keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
+void DeliveryClient::keep(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
   const auto found = places_.find(endpoint);
   if (found == places_.end()) return;
   Place& place = found->second;
-  if (connection->address != place.address || out_.size() + kept_ >= limits_.connections) return;
+  if (connection->address != place.address || out_.size() + kept_ >= limits_.max_connections) return;
   connection->idle_since = steady_now();
   place.idle.push_back(connection);
   if (kept_++ == 0) sweep();
@@ -479,7 +482,7 @@
 }
 
 // A kept connection that becomes readable was closed by the endpoint, or holds what nobody asked for.
-void Calls::watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint) {
+void DeliveryClient::watch_idle(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint) {
   connection->socket.async_wait(tcp::socket::wait_read,
                                 [this, weak = std::weak_ptr(connection), endpoint](error_code bad) {
                                   const auto readable = weak.lock();
@@ -487,30 +490,30 @@
                                 });
 }
 
-void Calls::drop(const EndpointId& endpoint, const Connection* connection) {
+void DeliveryClient::drop(const EndpointId& endpoint, const Connection* connection) {
   const auto found = places_.find(endpoint);
   if (found == places_.end()) return;
   kept_ -= std::erase_if(found->second.idle, [&](const auto& c) { return c.get() == connection; });
 }
 
-void Calls::close_idle(const EndpointId& endpoint) {
+void DeliveryClient::close_idle(const EndpointId& endpoint) {
   const auto found = places_.find(endpoint);
   if (found == places_.end()) return;
   kept_ -= found->second.idle.size();
   found->second.idle.clear();
 }
 
-void Calls::close_all_idle() {
+void DeliveryClient::close_all_idle() {
   for (auto& [id, place] : places_) place.idle.clear();
   kept_ = 0;
 }
 
-std::optional<tcp::endpoint> Calls::located(const EndpointId& endpoint) const {
+std::optional<tcp::endpoint> DeliveryClient::address_of(const EndpointId& endpoint) const {
   const auto found = places_.find(endpoint);
   return found == places_.end() ? std::nullopt : std::optional(found->second.address);
 }
 
-bool Calls::drop_longest_idle() {
+bool DeliveryClient::drop_longest_idle() {
   Place* longest = nullptr;
   for (auto& [id, place] : places_)
     if (!place.idle.empty() &&
@@ -522,8 +525,9 @@
 }
 
 // Closes kept connections before their end comes; sleeps until the next is due.
-void Calls::sweep() {
-  const Time now = steady_now(), most = static_cast<Time>(kKeptPart * static_cast<double>(limits_.idle));
+void DeliveryClient::sweep() {
+  const Time now = steady_now(),
+             most = static_cast<Time>(kKeptPart * static_cast<double>(limits_.idle_timeout));
   Time due = now + most;
   for (auto& [id, place] : places_) {
     kept_ -= std::erase_if(place.idle, [&](const auto& c) { return now >= c->idle_since + most; });
--- a/relay/calls.hpp
+++ b/relay/delivery_client.hpp
@@ -18,10 +18,10 @@
 #include <string>
 #include <vector>
 
-#include "answer.hpp"
 #include "clock.hpp"
 #include "dispatch/dispatcher.hpp"
 #include "log.hpp"
+#include "response_reader.hpp"
 
 namespace message_relay {
 
@@ -29,63 +29,63 @@
 using dispatch::MessageId;
 using dispatch::Outcome;
 
-struct Outgoing {
+struct OutgoingMessage {
   MessageId id = 0;
   int attempt = 0;
   Time timeout = 0;
-  std::string wire_id, body;
-  std::string key = {};
-  Time left = 3'600'000'000;                         // until it is over, delivered or not
-  Time begin_by = std::numeric_limits<Time>::max();  // its first byte goes out before that, or it does not go
+  std::string client_id, body;
+  std::string idempotency_key = {};
+  Time time_to_deadline = 3'600'000'000;             // until it is over, delivered or not
+  Time start_by = std::numeric_limits<Time>::max();  // its first byte goes out before that, or it does not go
 };
 
 // A call that was written whole and waits for its answer, as one process hands it to the next.
-struct OpenCall {
+struct InFlightCall {
   int socket = -1;
   EndpointId endpoint;
   boost::asio::ip::tcp::endpoint address;
-  Time sent = 0, answer_due = 0;
-  std::string seen;                // of its answer
-  std::vector<Outgoing> messages;  // without their bodies
+  Time sent_at = 0, response_due = 0;
+  std::string response_bytes;             // of its answer
+  std::vector<OutgoingMessage> messages;  // without their bodies
   std::vector<std::optional<Outcome>> given_up;
 };
 
-struct CallLimits {
-  std::size_t slots = 1;  // calls out at once
+struct DeliveryLimits {
+  std::size_t max_calls_in_flight = 1;  // calls out at once
   Time connect_timeout = 0;
-  Time idle = 0;                // endpoints close connections that were idle for so long
-  std::size_t connections = 1;  // of calls out and kept ones together
-  bool reports = false;         // answers may hold load reports
+  Time idle_timeout = 0;                   // endpoints close connections that were idle for so long
+  std::size_t max_connections = 1;         // of calls out and kept ones together
+  bool load_reports_in_responses = false;  // answers may hold load reports
 };
 
-class Calls {
+class DeliveryClient {
  public:
   using Ended = std::function<void(const dispatch::event::AttemptEnded&)>;
 
-  Calls(boost::asio::io_context& io, const CallLimits& limits, Ended ended);
-  ~Calls();
+  DeliveryClient(boost::asio::io_context& io, const DeliveryLimits& limits, Ended ended);
+  ~DeliveryClient();
 
   // Where an endpoint is found; kept connections to another address are closed.
-  void locate(const EndpointId& endpoint, const boost::asio::ip::tcp::endpoint& address);
+  void set_address(const EndpointId& endpoint, const boost::asio::ip::tcp::endpoint& address);
   void forget(const EndpointId& endpoint);  // it is gone
   // One call; `ended` hears of each message once, never from inside send().
-  void send(const EndpointId& endpoint, std::vector<Outgoing> messages);
+  void send(const EndpointId& endpoint, std::vector<OutgoingMessage> messages);
   void cancel(MessageId id, int attempt);
   void close_idle(const EndpointId& endpoint);
   void close_all_idle();
-  std::optional<boost::asio::ip::tcp::endpoint> located(const EndpointId& endpoint) const;
+  std::optional<boost::asio::ip::tcp::endpoint> address_of(const EndpointId& endpoint) const;
   // Ends, as not sent, the calls to an endpoint of which no byte has gone out.
-  void hold_back(const EndpointId& endpoint);
+  void cancel_unsent(const EndpointId& endpoint);
 
   // Whether all calls out are written whole.
-  bool all_written() const;
-  void hold_back_unwritten();
+  bool all_calls_written() const;
+  void cancel_all_unsent();
   // What another process may go on with, and going on with it.
-  std::vector<OpenCall> open_calls() const;
-  void adopt(const OpenCall& open);
+  std::vector<InFlightCall> in_flight_calls() const;
+  void adopt(const InFlightCall& open);
 
-  std::size_t out() const { return out_.size(); }
-  std::uint64_t written() const { return written_; }  // messages written whole to endpoints
+  std::size_t in_flight_count() const { return out_.size(); }
+  std::uint64_t messages_written() const { return written_; }  // messages written whole to endpoints
 
  private:
   struct Connection;
@@ -100,7 +100,7 @@
   void connect(const std::shared_ptr<Call>& call, const boost::asio::ip::tcp::endpoint& address);
   void write(const std::shared_ptr<Call>& call);
   void read(const std::shared_ptr<Call>& call);
-  void came(const std::shared_ptr<Call>& call, AnswerReader::State state);
+  void came(const std::shared_ptr<Call>& call, ResponseReader::State state);
   void answered(const std::shared_ptr<Call>& call);
   void broken(const std::shared_ptr<Call>& call);
   void answered_bundle(const std::shared_ptr<Call>& call);
@@ -116,9 +116,9 @@
   bool drop_longest_idle();
 
   boost::asio::io_context& io_;
-  CallLimits limits_;
+  DeliveryLimits limits_;
   Ended ended_;
-  Tally odd_;
+  CountingLog odd_;
   std::array<char, 16 * 1024> chunk_{};  // what was read last
   boost::asio::steady_timer sweep_timer_;
   std::map<EndpointId, Place> places_;
--- a/relay/members.hpp
+++ b/relay/endpoint_list.hpp
@@ -10,22 +10,22 @@
 
 namespace message_relay {
 
-struct Member {
+struct ListedEndpoint {
   dispatch::Endpoint endpoint;
   boost::asio::ip::tcp::endpoint address;
 };
 
-struct MemberList {
-  std::int64_t index = 0;
-  bool snapshot = false;  // the whole list, else what changed
-  std::vector<Member> members;
+struct EndpointList {
+  std::int64_t version = 0;
+  bool is_snapshot = false;  // the whole list, else what changed
+  std::vector<ListedEndpoint> entries;
 };
 
-// Throws WireError, naming the field, on what can't be read.
-MemberList read_members(const configuration::Value& v, const std::string& path,
-                        const configuration::Tables& names);
+// Throws FieldError, naming the field, on what can't be read.
+EndpointList read_endpoint_list(const configuration::JsonValue& v, const std::string& path,
+                                const configuration::SettingNames& names);
 
-// "127.0.0.1:8081"; throws WireError naming `path`.
+// "127.0.0.1:8081"; throws FieldError naming `path`.
 boost::asio::ip::tcp::endpoint read_address(const std::string& text, const std::string& path);
 
 }  // namespace message_relay
--- a/relay/peers.cpp
+++ b/relay/gossip_channel.cpp
@@ -1,4 +1,4 @@
-#include "peers.hpp"
+#include "gossip_channel.hpp"
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -16,8 +16,9 @@
 constexpr auto kPause = std::chrono::milliseconds(50);
 }  // namespace
 
-Peers::Peers(net::io_context& io, const udp::endpoint& listen, std::vector<udp::endpoint> peers,
-             std::optional<udp::endpoint> all, int own_rank, Heard heard)
+GossipChannel::GossipChannel(net::io_context& io, const udp::endpoint& listen,
+                             std::vector<udp::endpoint> peers, std::optional<udp::endpoint> all, int own_rank,
+                             Heard heard)
     : socket_(io),
       pause_(io),
       peers_(std::move(peers)),
@@ -36,7 +37,7 @@
     receive();
 }
 
-void Peers::tell(int whom, const std::string& body) {
+void GossipChannel::send(int whom, const std::string& body) {
   if (body.size() > kMostNote) return log("note to a peer: too long, not sent");
   const auto to = whom < 0 ? all_
                   : static_cast<std::size_t>(whom) < peers_.size()
@@ -46,7 +47,7 @@
   if (to) socket_.send_to(net::buffer(body), *to, 0, lost);
 }
 
-void Peers::receive() {
+void GossipChannel::receive() {
   socket_.async_receive_from(net::buffer(note_), sender_, [this](error_code bad, std::size_t size) {
     if (bad == net::error::operation_aborted) return;
     if (bad) {
--- a/relay/peers.hpp
+++ b/relay/gossip_channel.hpp
@@ -12,15 +12,15 @@
 
 namespace message_relay {
 
-class Peers {
+class GossipChannel {
  public:
   using Heard = std::function<void(int from, std::string body)>;
 
-  Peers(boost::asio::io_context& io, const boost::asio::ip::udp::endpoint& listen,
-        std::vector<boost::asio::ip::udp::endpoint> peers, std::optional<boost::asio::ip::udp::endpoint> all,
-        int own_rank, Heard heard);
+  GossipChannel(boost::asio::io_context& io, const boost::asio::ip::udp::endpoint& listen,
+                std::vector<boost::asio::ip::udp::endpoint> peers,
+                std::optional<boost::asio::ip::udp::endpoint> all, int own_rank, Heard heard);
 
-  void tell(int whom, const std::string& body);  // -1: every peer
+  void send(int whom, const std::string& body);  // -1: every peer
 
  private:
   void receive();
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -15,8 +15,8 @@
 #include <system_error>
 #include <thread>
 
+#include "binary_format.hpp"
 #include "log.hpp"
-#include "packing.hpp"
 
 namespace message_relay {
 
@@ -52,67 +52,72 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-Packer part(Part kind) { return Packer().number(kind); }
-
-std::string state_part(const Estate& e) {
-  Packer p = part(kState);
-  p.number(e.list.index).number(e.list_told).number(e.paused).number(e.next_number).text(e.learnt);
-  p.number(static_cast<std::uint32_t>(e.list.members.size()));
-  for (const auto& m : e.list.members) {
+BinaryWriter part(Part kind) { return BinaryWriter().number(kind); }
+
+std::string state_part(const HandoverState& e) {
+  BinaryWriter p = part(kState);
+  p.number(e.endpoint_list.version)
+      .number(e.list_received)
+      .number(e.paused)
+      .number(e.next_number)
+      .text(e.learned_state);
+  p.number(static_cast<std::uint32_t>(e.endpoint_list.entries.size()));
+  for (const auto& m : e.endpoint_list.entries) {
     const auto& x = m.endpoint;
-    p.text(x.id).number(x.destination).number(x.zone).number(x.kind).number(x.listing).number(x.weight);
-    p.number(x.since).text(text_of(m.address));
+    p.text(x.id).number(x.destination).number(x.zone).number(x.kind).number(x.status).number(x.weight);
+    p.number(x.added_at).text(text_of(m.address));
   }
   p.number(static_cast<std::uint32_t>(e.ever_listed.size()));
   for (const auto& id : e.ever_listed) p.text(id);
   p.number(static_cast<std::uint32_t>(e.destinations.size()));
   for (const auto d : e.destinations) p.number(d);
-  p.number(static_cast<std::uint32_t>(e.recent.size()));
-  for (const auto& [until, id] : e.recent) p.number(until).text(id);
+  p.number(static_cast<std::uint32_t>(e.completed_ids.size()));
+  for (const auto& [until, id] : e.completed_ids) p.number(until).text(id);
   return p.payload();
 }
 
-void read_state(Unpacker& in, Estate& e) {
-  e.list.snapshot = true;
-  e.list.index = in.number<std::int64_t>(), e.list_told = in.number<bool>(), e.paused = in.number<bool>();
-  e.next_number = in.number<MessageId>(), e.learnt = in.text();
+void read_state(BinaryReader& in, HandoverState& e) {
+  e.endpoint_list.is_snapshot = true;
+  e.endpoint_list.version = in.number<std::int64_t>(), e.list_received = in.number<bool>(),
+  e.paused = in.number<bool>();
+  e.next_number = in.number<MessageId>(), e.learned_state = in.text();
   for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
-    Member m;
+    ListedEndpoint m;
     auto& x = m.endpoint;
     x.id = in.text(), x.destination = in.number<std::int64_t>();
-    x.zone = in.number<int>(), x.kind = in.number<int>(), x.listing = in.number<dispatch::Listing>();
-    x.weight = in.number<double>(), x.since = in.number<Time>();
+    x.zone = in.number<int>(), x.kind = in.number<int>(), x.status = in.number<dispatch::EndpointStatus>();
+    x.weight = in.number<double>(), x.added_at = in.number<Time>();
     m.address = read_address(in.text(), "handover");
-    e.list.members.push_back(std::move(m));
+    e.endpoint_list.entries.push_back(std::move(m));
   }
   for (auto n = in.number<std::uint32_t>(); n > 0; n--) e.ever_listed.push_back(in.text());
   for (auto n = in.number<std::uint32_t>(); n > 0; n--) e.destinations.push_back(in.number<std::int64_t>());
   for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
     const auto until = in.number<Time>();
-    e.recent.emplace_back(until, in.text());
+    e.completed_ids.emplace_back(until, in.text());
   }
 }
 
-std::string call_part(const OpenCall& c) {
-  Packer p = part(kCall);
-  p.text(c.endpoint).text(text_of(c.address)).number(c.sent).number(c.answer_due).text(c.seen);
+std::string call_part(const InFlightCall& c) {
+  BinaryWriter p = part(kCall);
+  p.text(c.endpoint).text(text_of(c.address)).number(c.sent_at).number(c.response_due).text(c.response_bytes);
   p.number(static_cast<std::uint32_t>(c.messages.size()));
   for (std::size_t i = 0; i < c.messages.size(); i++) {
     const auto& m = c.messages[i];
-    p.number(m.id).number(m.attempt).number(m.timeout).text(m.wire_id);
+    p.number(m.id).number(m.attempt).number(m.timeout).text(m.client_id);
     p.number(c.given_up[i].has_value()).number(c.given_up[i].value_or(Outcome::timeout));
   }
   return p.payload();
 }
 
-OpenCall read_call_part(Unpacker& in) {
-  OpenCall c;
+InFlightCall read_call_part(BinaryReader& in) {
+  InFlightCall c;
   c.endpoint = in.text(), c.address = read_address(in.text(), "handover");
-  c.sent = in.number<Time>(), c.answer_due = in.number<Time>(), c.seen = in.text();
+  c.sent_at = in.number<Time>(), c.response_due = in.number<Time>(), c.response_bytes = in.text();
   for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
-    Outgoing m;
+    OutgoingMessage m;
     m.id = in.number<MessageId>(), m.attempt = in.number<int>(), m.timeout = in.number<Time>();
-    m.wire_id = in.text();
+    m.client_id = in.text();
     c.messages.push_back(std::move(m));
     const bool given_up = in.number<bool>();
     const auto outcome = in.number<Outcome>();
@@ -123,18 +128,18 @@
 
 // All descriptors that have come are closed again unless the process takes over.
 struct Incoming {
-  Possession possession;
-  std::vector<Descriptor> descriptors;
+  StartupOwnership possession;
+  std::vector<FileDescriptor> descriptors;
 };
 
 // Reads the parts up to their end; false where they break off.
-bool receive_parts(Channel& channel, Incoming& incoming) {
-  Estate& estate = incoming.possession.estate.emplace();
+bool receive_parts(HandoverChannel& channel, Incoming& incoming) {
+  HandoverState& estate = incoming.possession.inherited.emplace();
   std::string payload;
   while (true) {
-    Descriptor fd;
+    FileDescriptor fd;
     if (!channel.receive(payload, fd)) return false;
-    Unpacker in(payload);
+    BinaryReader in(payload);
     const Part kind = in.number<Part>();
     if (kind == kEnd) return static_cast<bool>(incoming.possession.lock) && estate.listener >= 0;
     if (kind == kState) {
@@ -160,8 +165,8 @@
 }
 
 // One try to take over from the owner.
-std::optional<Possession> ask_owner(const std::string& folder) {
-  Descriptor socket(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+std::optional<StartupOwnership> ask_owner(const std::string& folder) {
+  FileDescriptor socket(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
   if (!socket) fail("socket");
   sockaddr_un address{};
   address.sun_family = AF_UNIX;
@@ -170,7 +175,7 @@
   std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
   if (::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
     return std::nullopt;
-  Channel channel(std::move(socket));
+  HandoverChannel channel(std::move(socket));
   Incoming incoming;
   try {
     if (!channel.send(kHello) || !receive_parts(channel, incoming)) return std::nullopt;
@@ -187,24 +192,24 @@
 
 }  // namespace
 
-Descriptor& Descriptor::operator=(Descriptor&& other) noexcept {
+FileDescriptor& FileDescriptor::operator=(FileDescriptor&& other) noexcept {
   if (this != &other) {
     if (fd_ >= 0) ::close(fd_);
     fd_ = other.release();
   }
   return *this;
 }
-Descriptor::~Descriptor() {
+FileDescriptor::~FileDescriptor() {
   if (fd_ >= 0) ::close(fd_);
 }
 
-void Channel::limit(std::chrono::milliseconds each) {
+void HandoverChannel::set_timeout(std::chrono::milliseconds each) {
   set_limit(socket_.get(), SO_RCVTIMEO, each);
   set_limit(socket_.get(), SO_SNDTIMEO, each);
 }
 
-bool Channel::send(const std::string& payload, int fd) {
-  const std::string frame = Packer().text(payload).payload();
+bool HandoverChannel::send(const std::string& payload, int fd) {
+  const std::string frame = BinaryWriter().text(payload).payload();
   alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
   for (std::size_t done = 0; done < frame.size();) {
     iovec piece{const_cast<char*>(frame.data() + done), frame.size() - done};
@@ -224,7 +229,7 @@
   return true;
 }
 
-bool Channel::read(char* bytes, std::size_t size, Descriptor* fd) {
+bool HandoverChannel::read(char* bytes, std::size_t size, FileDescriptor* fd) {
   alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
   for (std::size_t done = 0; done < size;) {
     iovec piece{bytes + done, size - done};
@@ -238,7 +243,7 @@
       if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
       int one = -1;
       std::memcpy(&one, CMSG_DATA(head), sizeof one);
-      Descriptor came(one);
+      FileDescriptor came(one);
       if (fd != nullptr) *fd = std::move(came);
     }
     done += static_cast<std::size_t>(n);
@@ -246,22 +251,22 @@
   return true;
 }
 
-bool Channel::receive(std::string& payload, Descriptor& fd) {
+bool HandoverChannel::receive(std::string& payload, FileDescriptor& fd) {
   std::uint32_t size = 0;
   if (!read(reinterpret_cast<char*>(&size), sizeof size, &fd) || size > kMostFrame) return false;
   payload.resize(size);
   return read(payload.data(), size, nullptr);
 }
 
-bool Channel::receive_word(const std::string& word) {
+bool HandoverChannel::receive_word(const std::string& word) {
   std::string came;
-  Descriptor none;
+  FileDescriptor none;
   return receive(came, none) && came == word;
 }
 
-Possession take_possession(const std::string& folder) {
+StartupOwnership acquire_ownership(const std::string& folder) {
   for (bool told = false;; told = true) {
-    Descriptor lock(::open(lock_path(folder).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+    FileDescriptor lock(::open(lock_path(folder).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
     if (!lock) fail(lock_path(folder));
     if (::flock(lock.get(), LOCK_EX | LOCK_NB) == 0) return {std::move(lock), std::nullopt};
     if (errno == ENOSYS || errno == ENOLCK || errno == EOPNOTSUPP || errno == EPERM) {
@@ -276,28 +281,29 @@
   }
 }
 
-bool hand_over(Channel& channel, const Estate& estate, int lock) {
-  channel.limit(kMostHeldUp);
+bool hand_over(HandoverChannel& channel, const HandoverState& estate, int lock) {
+  channel.set_timeout(kMostHeldUp);
   bool sent = channel.send(state_part(estate)) && channel.send(part(kLock).payload(), lock) &&
               channel.send(part(kListener).payload(), estate.listener);
   for (const auto& c : estate.clients)
-    sent = sent && channel.send(part(kClient).number(c.used).number(c.since).payload(), c.socket);
+    sent =
+        sent && channel.send(part(kClient).number(c.served_before).number(c.idle_since).payload(), c.socket);
   for (const auto& c : estate.calls) sent = sent && channel.send(call_part(c), c.socket);
   if (!sent || !channel.send(part(kEnd).payload()) || !channel.receive_word(kReady)) return false;
   // From here on only its word, or its end, tells who owns all: however long that takes, nothing may be done.
-  channel.limit(std::chrono::milliseconds(0));
+  channel.set_timeout(std::chrono::milliseconds(0));
   return channel.send(kYours) && channel.receive_word(kTaken);
 }
 
 // ---- The owner's side. ----
-struct Successors::Asking {
+struct HandoverListener::Asking {
   Asking(net::io_context& io, Local::socket s) : socket(std::move(s)), timer(io) {}
   Local::socket socket;
   net::steady_timer timer;
-  std::string hello = std::string(Packer().text(kHello).payload().size(), '\0');
+  std::string hello = std::string(BinaryWriter().text(kHello).payload().size(), '\0');
 };
 
-Successors::Successors(net::io_context& io, const std::string& folder, Asked asked)
+HandoverListener::HandoverListener(net::io_context& io, const std::string& folder, Asked asked)
     : io_(io), acceptor_(io), pause_(io), asked_(std::move(asked)) {
   const std::string path = socket_path(folder);
   ::unlink(path.c_str());  // of the process that owned the folder before
@@ -312,9 +318,9 @@
   else
     accept();
 }
-Successors::~Successors() = default;
+HandoverListener::~HandoverListener() = default;
 
-void Successors::accept() {
+void HandoverListener::accept() {
   acceptor_.async_accept([this](error_code bad, Local::socket socket) {
     if (bad == net::error::operation_aborted) return;
     if (bad) {
@@ -333,11 +339,11 @@
     net::async_read(asking->socket, net::buffer(asking->hello),
                     [this, asking](error_code broken, std::size_t) {
                       asking->timer.cancel();
-                      if (!broken && asking->hello == Packer().text(kHello).payload()) {
+                      if (!broken && asking->hello == BinaryWriter().text(kHello).payload()) {
                         error_code ignored;
                         asking->socket.native_non_blocking(false, ignored);
                         const int fd = asking->socket.release(ignored);
-                        if (!ignored) asked_(Channel(Descriptor(fd)));
+                        if (!ignored) asked_(HandoverChannel(FileDescriptor(fd)));
                       }
                       accept();
                     });
--- a/relay/handover.hpp
+++ b/relay/handover.hpp
@@ -17,20 +17,20 @@
 #include <utility>
 #include <vector>
 
-#include "calls.hpp"
 #include "clock.hpp"
-#include "intake.hpp"
-#include "members.hpp"
+#include "delivery_client.hpp"
+#include "endpoint_list.hpp"
+#include "ingress_server.hpp"
 
 namespace message_relay {
 
 // A file descriptor with its owner.
-class Descriptor {
+class FileDescriptor {
  public:
-  explicit Descriptor(int fd = -1) : fd_(fd) {}
-  Descriptor(Descriptor&& other) noexcept : fd_(other.release()) {}
-  Descriptor& operator=(Descriptor&& other) noexcept;
-  ~Descriptor();
+  explicit FileDescriptor(int fd = -1) : fd_(fd) {}
+  FileDescriptor(FileDescriptor&& other) noexcept : fd_(other.release()) {}
+  FileDescriptor& operator=(FileDescriptor&& other) noexcept;
+  ~FileDescriptor();
   int get() const { return fd_; }
   int release() { return std::exchange(fd_, -1); }
   explicit operator bool() const { return fd_ >= 0; }
@@ -40,52 +40,52 @@
 };
 
 // Frames over a Unix socket, blocking; a descriptor may go along with each.
-class Channel {
+class HandoverChannel {
  public:
-  explicit Channel(Descriptor socket) : socket_(std::move(socket)) {}
-  void limit(std::chrono::milliseconds each);  // for each read and write; 0: none
+  explicit HandoverChannel(FileDescriptor socket) : socket_(std::move(socket)) {}
+  void set_timeout(std::chrono::milliseconds each);  // for each read and write; 0: none
   bool send(const std::string& payload, int fd = -1);
-  bool receive(std::string& payload, Descriptor& fd);
+  bool receive(std::string& payload, FileDescriptor& fd);
   bool receive_word(const std::string& word);
 
  private:
-  bool read(char* bytes, std::size_t size, Descriptor* fd);
-  Descriptor socket_;
+  bool read(char* bytes, std::size_t size, FileDescriptor* fd);
+  FileDescriptor socket_;
 };
 
 // What passes from one process to the next, besides the journal in the folder.
-struct Estate {
-  MemberList list;  // with its version
-  bool list_told = false, paused = false;
+struct HandoverState {
+  EndpointList endpoint_list;  // with its version
+  bool list_received = false, paused = false;
   MessageId next_number = 1;  // calls out may still carry an earlier one, though its message is over
-  std::string learnt;         // by the module
+  std::string learned_state;  // by the module
   std::vector<std::string> ever_listed;
   std::vector<std::int64_t> destinations;
-  std::vector<std::pair<Time, std::string>> recent;  // ids of messages that are over
-  std::vector<OpenClient> clients;  // those are descriptors of the process that holds the estate
-  std::vector<OpenCall> calls;
+  std::vector<std::pair<Time, std::string>> completed_ids;  // ids of messages that are over
+  std::vector<IdleClient> clients;  // those are descriptors of the process that holds the estate
+  std::vector<InFlightCall> calls;
   int listener = -1;
 };
 
 // What a process starts with: the lock of the folder, and an estate where it took over from another process.
-struct Possession {
-  Descriptor lock;
-  std::optional<Estate> estate;
+struct StartupOwnership {
+  FileDescriptor lock;
+  std::optional<HandoverState> inherited;
 };
 
 // Blocks until this process owns the folder: at once where nobody does. Throws std::system_error.
-Possession take_possession(const std::string& folder);
+StartupOwnership acquire_ownership(const std::string& folder);
 
 // Hands over through the channel; true once the other process owns all. What is held up for it is the
 // caller's whole loop, for kMostHeldUp at most before the other process can have taken over.
-bool hand_over(Channel& channel, const Estate& estate, int lock);
+bool hand_over(HandoverChannel& channel, const HandoverState& estate, int lock);
 
 // The owner's side: waits for a process that asks.
-class Successors {
+class HandoverListener {
  public:
-  using Asked = std::function<void(Channel)>;
-  Successors(boost::asio::io_context& io, const std::string& folder, Asked asked);
-  ~Successors();
+  using Asked = std::function<void(HandoverChannel)>;
+  HandoverListener(boost::asio::io_context& io, const std::string& folder, Asked asked);
+  ~HandoverListener();
 
  private:
   struct Asking;
--- a/relay/framing.cpp
+++ b/relay/http_framing.cpp
@@ -1,4 +1,4 @@
-#include "framing.hpp"
+#include "http_framing.hpp"
 
 #include <algorithm>
 
@@ -7,7 +7,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-bool framing_certain(const http::fields& head, unsigned version) {
+bool has_unambiguous_framing(const http::fields& head, unsigned version) {
   const auto lengths = head.count(http::field::content_length);
   const auto codings = head.count(http::field::transfer_encoding);
   // Beast takes "3, 3" for 3.
--- a/relay/framing.hpp
+++ b/relay/http_framing.hpp
@@ -6,9 +6,9 @@
 
 namespace message_relay {
 
-constexpr std::uint64_t kMostBody = 64 * 1024;
-constexpr std::uint32_t kMostHeader = 16 * 1024;
+constexpr std::uint64_t kMaxBodyBytes = 64 * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
 
-bool framing_certain(const boost::beast::http::fields& head, unsigned version);
+bool has_unambiguous_framing(const boost::beast::http::fields& head, unsigned version);
 
 }  // namespace message_relay
--- a/relay/intake.cpp
+++ b/relay/ingress_server.cpp
@@ -1,4 +1,4 @@
-#include "intake.hpp"
+#include "ingress_server.hpp"
 
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "framing.hpp"
-#include "request.hpp"
+#include "http_framing.hpp"
+#include "request_parser.hpp"
 
 namespace message_relay {
 
@@ -46,9 +46,9 @@
 
 }  // namespace
 
-class Intake::Session : public std::enable_shared_from_this<Session> {
+class IngressServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Intake& intake, tcp::socket socket)
+  Session(IngressServer& intake, tcp::socket socket)
       : intake_(intake), socket_(std::move(socket)), timer_(intake.io_) {}
 
   bool idle() const { return stage_ == Stage::idle; }
@@ -70,7 +70,7 @@
     wait();
   }
   bool between_requests() const { return idle() || stage_ == Stage::lingering; }
-  OpenClient open() { return {socket_.native_handle(), used_, since_}; }
+  IdleClient open() { return {socket_.native_handle(), used_, since_}; }
   // Closes if no request has begun; one that has begun is answered first.
   void drain() {
     if (idle() && !has_bytes()) close();
@@ -105,7 +105,7 @@
     timer_.expires_after(time);
     timer_.async_wait([self = shared_from_this()](error_code bad) {
       if (bad || self->closed_) return;
-      if (!self->idle()) self->intake_.tally_.add("half a request");
+      if (!self->idle()) self->intake_.tally_.count("half a request");
       self->close();
     });
   }
@@ -119,7 +119,7 @@
       limit(kRequestTime);
       return read_header();
     }
-    buffer_ = Buffer(kMostHeader + kMostBody);  // an idle connection holds no memory
+    buffer_ = Buffer(kMaxHeaderBytes + kMaxBodyBytes);  // an idle connection holds no memory
     if (intake_.draining_) return close();
     limit(kIdleTime);
     wait();
@@ -140,14 +140,14 @@
   void read_header() {
     stage_ = Stage::reading;
     parser_.emplace();
-    parser_->header_limit(kMostHeader);
-    parser_->body_limit(kMostBody);
+    parser_->header_limit(kMaxHeaderBytes);
+    parser_->body_limit(kMaxBodyBytes);
     http::async_read_header(socket_, buffer_, *parser_,
                             [self = shared_from_this()](error_code bad, std::size_t) {
                               if (self->closed_) return;
                               if (bad) return self->unreadable(bad);
                               const auto& head = self->parser_->get();
-                              if (!framing_certain(head, head.version()))
+                              if (!has_unambiguous_framing(head, head.version()))
                                 return self->turn_down(400, "framing in doubt");
                               if (!self->reserve()) return self->turn_down(503, "no memory for its body");
                               if (beast::iequals(head[http::field::expect], "100-continue"))
@@ -176,8 +176,10 @@
   // bring large bodies slowly.
   bool reserve() {
     const auto length = parser_->content_length();
-    const std::size_t more = length ? static_cast<std::size_t>(*length) : parser_->chunked() ? kMostBody : 0;
-    if (intake_.body_bytes_ + more > intake_.limits_.body_bytes) return false;
+    const std::size_t more = length               ? static_cast<std::size_t>(*length)
+                             : parser_->chunked() ? kMaxBodyBytes
+                                                  : 0;
+    if (intake_.body_bytes_ + more > intake_.limits_.max_body_bytes) return false;
     intake_.body_bytes_ += more, reserved_ += more;
     return true;
   }
@@ -193,7 +195,7 @@
   }
   // Nothing behind it is read as a request.
   void turn_down(unsigned status, const char* why) {
-    intake_.tally_.add(why);
+    intake_.tally_.count(why);
     stage_ = Stage::answering;
     close_after_ = doubtful_ = true;
     answer({status, status == 503 ? kComeBack : 0});
@@ -209,14 +211,14 @@
         return turn_down(405, "unknown method");
       return answer({intake_.ready_() ? 200u : 503u, 0});
     }
-    Handed handed = read_message(request, intake_.settings_, intake_.names_);
-    if (handed.refused > 0) return turn_down(handed.refused, handed.why);
-    intake_.take_(std::move(handed.message), [self = shared_from_this()](const Answer& a) {
-      a.turned_down.empty() ? self->answer(a) : self->turn_down(a.status, a.turned_down.data());
+    ParsedRequest handed = parse_request(request, intake_.settings_, intake_.names_);
+    if (handed.rejection_status > 0) return turn_down(handed.rejection_status, handed.rejection_reason);
+    intake_.take_(std::move(handed.message), [self = shared_from_this()](const ClientResponse& a) {
+      a.rejection_reason.empty() ? self->answer(a) : self->turn_down(a.status, a.rejection_reason.data());
     });
   }
 
-  void answer(const Answer& a) {
+  void answer(const ClientResponse& a) {
     if (closed_) return;
     response_ = {};
     response_.version(11);
@@ -246,7 +248,7 @@
   // Reads away the rest of what was turned down: closing before that would reset the answer.
   void linger() {
     buffer_.clear();
-    socket_.async_read_some(buffer_.prepare(kMostHeader),
+    socket_.async_read_some(buffer_.prepare(kMaxHeaderBytes),
                             [self = shared_from_this()](error_code bad, std::size_t size) {
                               if (self->closed_) return;
                               self->lingered_ += size;
@@ -256,10 +258,10 @@
   }
 
   using Buffer = beast::flat_buffer;
-  Intake& intake_;
+  IngressServer& intake_;
   tcp::socket socket_;
   net::steady_timer timer_;
-  Buffer buffer_{kMostHeader + kMostBody};
+  Buffer buffer_{kMaxHeaderBytes + kMaxBodyBytes};
   std::optional<http::request_parser<http::string_body>> parser_;
   http::response<http::empty_body> response_;
   Stage stage_ = Stage::idle;
@@ -269,8 +271,9 @@
   bool closed_ = false, close_after_ = false, doubtful_ = false;
 };
 
-Intake::Intake(net::io_context& io, tcp::acceptor listening, const dispatch::Settings& settings,
-               const configuration::Tables& names, const IntakeLimits& limits, Take take, Ready ready)
+IngressServer::IngressServer(net::io_context& io, tcp::acceptor listening, const dispatch::Settings& settings,
+                             const configuration::SettingNames& names, const IngressLimits& limits, Take take,
+                             Ready ready)
     : io_(io),
       acceptor_(std::move(listening)),
       pause_(io),
@@ -282,9 +285,9 @@
       tally_(io, "clients turned down") {
   accept();
 }
-Intake::~Intake() = default;
+IngressServer::~IngressServer() = default;
 
-void Intake::accept() {
+void IngressServer::accept() {
   acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
     if (bad == net::error::operation_aborted) return;
     if (bad) {
@@ -296,8 +299,8 @@
       });
     }
     make_room();
-    if (sessions_.size() >= limits_.clients) {
-      tally_.add("no room for its connection");
+    if (sessions_.size() >= limits_.max_connections) {
+      tally_.count("no room for its connection");
     } else {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
@@ -307,40 +310,42 @@
   });
 }
 
-void Intake::begin(tcp::socket socket, bool used, Time since) {
+void IngressServer::begin(tcp::socket socket, bool used, Time since) {
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   sessions_.insert(session);
   session->start(used, since);
 }
 
-void Intake::adopt(const OpenClient& client) {
+void IngressServer::adopt(const IdleClient& client) {
   tcp::socket socket(io_);
   error_code bad;
   socket.assign(acceptor_.local_endpoint().protocol(), client.socket, bad);
-  if (!bad) begin(std::move(socket), client.used, client.since);
+  if (!bad) begin(std::move(socket), client.served_before, client.idle_since);
 }
 
-std::vector<OpenClient> Intake::open_clients() const {
-  std::vector<OpenClient> open;
+std::vector<IdleClient> IngressServer::idle_clients() const {
+  std::vector<IdleClient> open;
   for (const auto& session : sessions_)
     if (session->idle()) open.push_back(session->open());
   return open;
 }
 
-bool Intake::between_requests() const {
+bool IngressServer::all_between_requests() const {
   return std::all_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->between_requests(); });
 }
 
-bool Intake::short_of_room() const { return sessions_.size() * kShortOf >= limits_.clients * kShort; }
+bool IngressServer::short_of_room() const {
+  return sessions_.size() * kShortOf >= limits_.max_connections * kShort;
+}
 
 // One that stands between requests may be closed, one with a request would lose its message.
-void Intake::make_room() {
+void IngressServer::make_room() {
   if (!short_of_room()) return;
   const Time now = steady_now();
   std::vector<std::pair<Time, std::shared_ptr<Session>>> spare;
   for (const auto& session : sessions_) {
     const Time since = session->spare_since();
-    if (since < kNever && (session->stale(now) || sessions_.size() >= limits_.clients))
+    if (since < kNever && (session->stale(now) || sessions_.size() >= limits_.max_connections))
       spare.emplace_back(since, session);
   }
   const auto most = std::min(spare.size(), kRoomTries);
@@ -349,14 +354,14 @@
     if (spare[i].second->make_room()) return;
 }
 
-void Intake::drain(bool on) {
+void IngressServer::drain(bool on) {
   draining_ = on;
   if (!on) return;
   for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
     session->drain();
 }
 
-bool Intake::busy() const {
+bool IngressServer::busy() const {
   return std::any_of(sessions_.begin(), sessions_.end(), [](const auto& s) { return !s->idle(); });
 }
 
--- a/relay/intake.hpp
+++ b/relay/ingress_server.hpp
@@ -16,46 +16,46 @@
 
 namespace message_relay {
 
-struct Answer {
+struct ClientResponse {
   unsigned status = 202;
-  Time retry_after = 0;               // 0: none
-  std::string_view turned_down = {};  // why the message makes no sense, where it makes none; a literal
+  Time retry_after = 0;                    // 0: none
+  std::string_view rejection_reason = {};  // why the message makes no sense, where it makes none; a literal
 };
-using Reply = std::function<void(const Answer&)>;
+using ResponseCallback = std::function<void(const ClientResponse&)>;
 
 // A connection that stands between requests, as one process hands it to the next.
-struct OpenClient {
+struct IdleClient {
   int socket = -1;
-  bool used = false;  // a whole request has come on it
-  Time since = 0;     // it stands so
+  bool served_before = false;  // a whole request has come on it
+  Time idle_since = 0;         // it stands so
 };
 
-struct IntakeLimits {
-  std::size_t clients = 1;     // connections
-  std::size_t body_bytes = 0;  // of all bodies that are being read
+struct IngressLimits {
+  std::size_t max_connections = 1;  // connections
+  std::size_t max_body_bytes = 0;   // of all bodies that are being read
 };
 
-class Intake {
+class IngressServer {
  public:
-  using Take = std::function<void(Message, Reply)>;
+  using Take = std::function<void(Message, ResponseCallback)>;
   using Ready = std::function<bool()>;
 
   // Accepts at once. Each message goes to `take`, which answers by the reply, once, then or later.
-  Intake(boost::asio::io_context& io, boost::asio::ip::tcp::acceptor listening,
-         const dispatch::Settings& settings, const configuration::Tables& names, const IntakeLimits& limits,
-         Take take, Ready ready);
-  ~Intake();
+  IngressServer(boost::asio::io_context& io, boost::asio::ip::tcp::acceptor listening,
+                const dispatch::Settings& settings, const configuration::SettingNames& names,
+                const IngressLimits& limits, Take take, Ready ready);
+  ~IngressServer();
 
   // While draining, connections are closed once they stand between requests; new ones are still answered.
   void drain(bool on);
   // Whether a request is being read or answered.
   bool busy() const;
   // Whether one is being read, or answered; those that were turned down don't count.
-  bool between_requests() const;
+  bool all_between_requests() const;
   // What another process may go on with, and going on with it.
   int listener() { return acceptor_.native_handle(); }
-  std::vector<OpenClient> open_clients() const;
-  void adopt(const OpenClient& client);
+  std::vector<IdleClient> idle_clients() const;
+  void adopt(const IdleClient& client);
   boost::asio::ip::tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
  private:
@@ -69,13 +69,13 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   const dispatch::Settings& settings_;
-  const configuration::Tables& names_;
-  IntakeLimits limits_;
+  const configuration::SettingNames& names_;
+  IngressLimits limits_;
   Take take_;
   Ready ready_;
   bool draining_ = false;
   std::size_t body_bytes_ = 0;
-  Tally tally_;
+  CountingLog tally_;
   std::set<std::shared_ptr<Session>> sessions_;
 };
 
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -14,7 +14,7 @@
 #include <system_error>
 #include <utility>
 
-#include "packing.hpp"
+#include "binary_format.hpp"
 
 namespace message_relay {
 namespace {
@@ -45,7 +45,7 @@
   throw std::system_error(errno, std::generic_category(), what);
 }
 
-Packer record(Kind kind, MessageId id) { return Packer().number(kind).number(id); }
+BinaryWriter record(Kind kind, MessageId id) { return BinaryWriter().number(kind).number(id); }
 
 std::string framed(const std::string& payload) {
   boost::crc_32_type crc;
@@ -64,20 +64,20 @@
       .text(m.tenant)
       .number(m.destination)
       .number(m.deadline)
-      .number(m.repeat)
+      .number(m.resubmitted)
       .text(m.body)
       .payload();
 }
 // Ahead of the message's own record, whose form earlier builds read: torn between them, it was not taken on.
 std::string keys_record(MessageId id, const Message& m) {
-  return record(kKeys, id).text(m.key).text(m.order_key).payload();
+  return record(kKeys, id).text(m.idempotency_key).text(m.order_key).payload();
 }
 std::string taking(MessageId id, const Message& m) {
-  const bool keys = !m.key.empty() || !m.order_key.empty();
+  const bool keys = !m.idempotency_key.empty() || !m.order_key.empty();
   return (keys ? framed(keys_record(id, m)) : "") + framed(take_record(id, m));
 }
 std::string sent_record(MessageId id, const Attempt& a) {
-  return record(kSent, id).number(a.sent).number(static_cast<std::int32_t>(a.zone)).payload();
+  return record(kSent, id).number(a.sent_at).number(static_cast<std::int32_t>(a.zone)).payload();
 }
 std::string outcome_record(MessageId id, int attempt, Outcome o) {
   return record(kOutcome, id)
@@ -85,8 +85,8 @@
       .number(static_cast<char>(o))
       .payload();
 }
-std::string ending_record(MessageId id, const Ending& e) {
-  return record(kEnding, id).number(e.deferred).number(e.again).payload();
+std::string ending_record(MessageId id, const FinalAnswer& e) {
+  return record(kEnding, id).number(e.retryable).number(e.retry_after).payload();
 }
 
 std::string suspend_record(const std::string& endpoint, bool on) {
@@ -94,13 +94,13 @@
 }
 
 // All that is known of a message, as records.
-std::string records_of(MessageId id, const Held& h) {
+std::string records_of(MessageId id, const JournaledMessage& h) {
   std::string all = taking(id, h.message);
   for (std::size_t i = 0; i < h.attempts.size(); i++) {
     all += framed(sent_record(id, h.attempts[i]));
     if (h.attempts[i].outcome) all += framed(outcome_record(id, static_cast<int>(i), *h.attempts[i].outcome));
   }
-  if (h.ending) all += framed(ending_record(id, *h.ending));
+  if (h.final_answer) all += framed(ending_record(id, *h.final_answer));
   return all;
 }
 
@@ -148,9 +148,9 @@
 
 }  // namespace
 
-bool Attempt::may_have_run() const {
-  return !outcome ||
-         !(*outcome == Outcome::full || *outcome == Outcome::connect_failed || *outcome == Outcome::not_sent);
+bool Attempt::may_have_executed() const {
+  return !outcome || !(*outcome == Outcome::rejected || *outcome == Outcome::connect_failed ||
+                       *outcome == Outcome::not_sent);
 }
 
 Journal::Journal(const std::string& folder, std::uint64_t limit_bytes)
@@ -205,18 +205,19 @@
 }
 
 void Journal::apply(const std::string& payload) {
-  Unpacker in(payload);
+  BinaryReader in(payload);
   const char kind = in.number<char>();
   const auto id = in.number<MessageId>();
   if (kind == kTake) {
-    Held h;
+    JournaledMessage h;
     h.message.id = in.text();
     h.message.message_class = in.text(), h.message.tenant = in.text();
     h.message.destination = in.number<std::int64_t>(), h.message.deadline = in.number<Time>();
-    h.message.repeat = in.number<bool>(), h.message.body = in.text();
-    if (keys_of_ == id) h.message.key = std::move(key_), h.message.order_key = std::move(order_key_);
+    h.message.resubmitted = in.number<bool>(), h.message.body = in.text();
+    if (keys_of_ == id)
+      h.message.idempotency_key = std::move(key_), h.message.order_key = std::move(order_key_);
     keys_of_ = kNoMessage;
-    reserved_ += cost(h.message);
+    reserved_ += reserved_bytes(h.message);
     held_.insert_or_assign(id, std::move(h));
     return;
   }
@@ -231,48 +232,49 @@
   }
   const auto it = held_.find(id);
   if (it == held_.end()) return;  // over before the file was compacted
-  Held& h = it->second;
+  JournaledMessage& h = it->second;
   if (kind == kSent) {
     Attempt a;
-    a.sent = in.number<Time>(), a.zone = in.number<std::int32_t>();
+    a.sent_at = in.number<Time>(), a.zone = in.number<std::int32_t>();
     h.attempts.push_back(a);
   } else if (kind == kOutcome) {
     const auto attempt = static_cast<std::size_t>(in.number<std::int32_t>());
     const auto outcome = static_cast<Outcome>(in.number<char>());
     if (attempt < h.attempts.size()) h.attempts[attempt].outcome = outcome;
   } else if (kind == kEnding) {
-    Ending e;
-    e.deferred = in.number<bool>(), e.again = in.number<Time>();
-    endings_ += !h.ending;
-    h.ending = e;
+    FinalAnswer e;
+    e.retryable = in.number<bool>(), e.retry_after = in.number<Time>();
+    endings_ += !h.final_answer;
+    h.final_answer = e;
   } else if (kind == kOver) {
     forget(it);
   }
 }
 
-void Journal::forget(std::map<MessageId, Held>::iterator it) {
-  reserved_ -= cost(it->second.message);
-  endings_ -= it->second.ending.has_value();
+void Journal::forget(std::map<MessageId, JournaledMessage>::iterator it) {
+  reserved_ -= reserved_bytes(it->second.message);
+  endings_ -= it->second.final_answer.has_value();
   held_.erase(it);
 }
 
 // By the lengths alone: it is asked for several times for each message, also while a large file is read.
-std::uint64_t Journal::cost(const Message& m) {
+std::uint64_t Journal::reserved_bytes(const Message& m) {
   constexpr std::uint64_t head = kFrame + sizeof(Kind) + sizeof(MessageId), length = sizeof(std::uint32_t);
-  const bool keys = !m.key.empty() || !m.order_key.empty();
-  const std::uint64_t keys_size = keys ? head + 2 * length + m.key.size() + m.order_key.size() : 0;
+  const bool keys = !m.idempotency_key.empty() || !m.order_key.empty();
+  const std::uint64_t keys_size =
+      keys ? head + 2 * length + m.idempotency_key.size() + m.order_key.size() : 0;
   return keys_size + head + 4 * length + m.id.size() + m.message_class.size() + m.tenant.size() +
-         m.body.size() + sizeof m.destination + sizeof m.deadline + sizeof m.repeat + kLaterRecords;
+         m.body.size() + sizeof m.destination + sizeof m.deadline + sizeof m.resubmitted + kLaterRecords;
 }
 
-std::uint64_t Journal::bytes() const { return on_disk(size_) + on_disk(next_size_); }
+std::uint64_t Journal::bytes_on_disk() const { return on_disk(size_) + on_disk(next_size_); }
 
-bool Journal::room_for(const Message& message, std::uint64_t also) const {
-  const std::uint64_t more = cost(message) + also;
+bool Journal::has_capacity_for(const Message& message, std::uint64_t also) const {
+  const std::uint64_t more = reserved_bytes(message) + also;
   if (reserved_ + more > limit_ / 100 * kHeldShare) return false;
   // While a second file stands, what is held is still to come into it, and news go into both.
   const std::uint64_t pending = pending_.size() + next_pending_.size();
-  return bytes() + pending + 2 * more + reserved_ <= limit_ / 100 * kFullShare;
+  return bytes_on_disk() + pending + 2 * more + reserved_ <= limit_ / 100 * kFullShare;
 }
 
 void Journal::add(MessageId id, const std::string& payload) { add_frames(id, framed(payload)); }
@@ -280,34 +282,34 @@
   pending_ += frame;
   if (next_ >= 0 && id <= copied_) next_pending_ += frame;
 }
-void Journal::take(MessageId id, Message message) {
+void Journal::record_message(MessageId id, Message message) {
   add_frames(id, taking(id, message));
-  reserved_ += cost(message);
+  reserved_ += reserved_bytes(message);
   held_[id].message = std::move(message);
 }
-void Journal::sent(MessageId id, Time when, int zone) {
+void Journal::record_attempt(MessageId id, Time when, int zone) {
   auto& attempts = held_.at(id).attempts;
   attempts.push_back({when, zone, std::nullopt});
   add(id, sent_record(id, attempts.back()));
 }
-void Journal::outcome(MessageId id, int attempt, Outcome o) {
+void Journal::record_outcome(MessageId id, int attempt, Outcome o) {
   held_.at(id).attempts.at(static_cast<std::size_t>(attempt)).outcome = o;
   add(id, outcome_record(id, attempt, o));
 }
-void Journal::ending(MessageId id, Ending ending) {
-  auto& slot = held_.at(id).ending;
+void Journal::record_final_answer(MessageId id, FinalAnswer ending) {
+  auto& slot = held_.at(id).final_answer;
   endings_ += !slot;
   slot = ending;
   add(id, ending_record(id, ending));
 }
-void Journal::over(MessageId id) {
+void Journal::record_completed(MessageId id) {
   const auto it = held_.find(id);
   if (it == held_.end()) return;
   add(id, record(kOver, id).payload());
   forget(it);
 }
 
-void Journal::suspend(const std::string& endpoint, bool on) {
+void Journal::record_suspension(const std::string& endpoint, bool on) {
   if (on ? suspended_.insert(endpoint).second : suspended_.erase(endpoint) > 0)
     add(kNoMessage, suspend_record(endpoint, on));
 }
@@ -345,7 +347,7 @@
 
 bool Journal::wants_compaction() const { return next_ >= 0 || size_ > limit_ / 100 * kCompactShare; }
 
-bool Journal::rest() {
+bool Journal::consolidate() {
   if (!commit()) return false;
   drop_next();
   return true;
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -25,29 +25,29 @@
   std::string message_class, tenant;
   std::int64_t destination = 0;
   Time deadline = 0;  // wall time
-  bool repeat = false;
+  bool resubmitted = false;
   std::string body;
-  std::string key;        // that its endpoint knows repeats by, where its class has one
-  std::string order_key;  // of messages that go one after the other
+  std::string idempotency_key;  // that its endpoint knows repeats by, where its class has one
+  std::string order_key;        // of messages that go one after the other
 };
 
 struct Attempt {
-  Time sent = 0;  // wall time
+  Time sent_at = 0;  // wall time
   int zone = -1;
   std::optional<Outcome> outcome;  // none: not seen, so it may have run
-  bool may_have_run() const;
+  bool may_have_executed() const;
 };
 
 // A message that is given up: its notice is owed to the platform.
-struct Ending {
-  bool deferred = false;  // handing it in again is harmless
-  Time again = 0;
+struct FinalAnswer {
+  bool retryable = false;  // handing it in again is harmless
+  Time retry_after = 0;
 };
 
-struct Held {
+struct JournaledMessage {
   Message message;
   std::vector<Attempt> attempts;
-  std::optional<Ending> ending;
+  std::optional<FinalAnswer> final_answer;
 };
 
 class Journal {
@@ -58,23 +58,25 @@
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
-  const std::map<MessageId, Held>& held() const { return held_; }
-  std::size_t open() const { return held_.size() - endings_; }           // held, and not yet given up
-  const std::set<std::string>& suspended() const { return suspended_; }  // endpoints left out by hand
+  const std::map<MessageId, JournaledMessage>& messages() const { return held_; }
+  std::size_t unanswered_count() const { return held_.size() - endings_; }  // held, and not yet given up
+  const std::set<std::string>& suspended_endpoints() const {
+    return suspended_;
+  }  // endpoints left out by hand
   // What was found at the start and could not be used.
   std::uint64_t dropped_bytes() const { return dropped_; }
 
   // Whether a message with so long a record may be taken on besides `also` bytes of others.
-  bool room_for(const Message& message, std::uint64_t also = 0) const;
-  static std::uint64_t cost(const Message& message);
+  bool has_capacity_for(const Message& message, std::uint64_t also = 0) const;
+  static std::uint64_t reserved_bytes(const Message& message);
 
   // Each adds a record; nothing may be acted on before commit() has returned true.
-  void take(MessageId id, Message message);
-  void sent(MessageId id, Time when, int zone);
-  void outcome(MessageId id, int attempt, Outcome outcome);
-  void ending(MessageId id, Ending ending);
-  void over(MessageId id);  // nothing is owed any more; forgets the message
-  void suspend(const std::string& endpoint, bool on);
+  void record_message(MessageId id, Message message);
+  void record_attempt(MessageId id, Time when, int zone);
+  void record_outcome(MessageId id, int attempt, Outcome outcome);
+  void record_final_answer(MessageId id, FinalAnswer ending);
+  void record_completed(MessageId id);  // nothing is owed any more; forgets the message
+  void record_suspension(const std::string& endpoint, bool on);
   // Writes the added records; false, with nothing written, where the disk won't take them now.
   bool commit();
 
@@ -83,12 +85,12 @@
   bool compact();
 
   // Leaves one whole file, for another process to read; false where the disk won't take the last records now.
-  bool rest();
+  bool consolidate();
 
-  std::uint64_t bytes() const;  // of both files
+  std::uint64_t bytes_on_disk() const;  // of both files
 
  private:
-  void forget(std::map<MessageId, Held>::iterator it);
+  void forget(std::map<MessageId, JournaledMessage>::iterator it);
   void add(MessageId id, const std::string& payload);
   void add_frames(MessageId id, const std::string& frames);
   bool compact_step();
@@ -105,7 +107,7 @@
   std::uint64_t reserved_ = 0;  // cost of all that is held
   std::uint64_t dropped_ = 0;
   std::string pending_, next_pending_;
-  std::map<MessageId, Held> held_;
+  std::map<MessageId, JournaledMessage> held_;
   std::size_t endings_ = 0;  // of these, given up
   std::set<std::string> suspended_;
   MessageId keys_of_ = 0;  // while reading: whose these are
--- a/relay/values.cpp
+++ b/relay/json_stream_splitter.cpp
@@ -1,8 +1,8 @@
-#include "values.hpp"
+#include "json_stream_splitter.hpp"
 
 namespace message_relay {
 
-std::optional<std::string> ValueStream::next() {
+std::optional<std::string> JsonStreamSplitter::next() {
   for (; at_ < text_.size() && !broken_; at_++) {
     const char c = text_[at_];
     if (in_text_) {
--- a/relay/values.hpp
+++ b/relay/json_stream_splitter.hpp
@@ -6,14 +6,14 @@
 
 namespace message_relay {
 
-class ValueStream {
+class JsonStreamSplitter {
  public:
-  void put(const std::string& bytes) { text_ += bytes; }
+  void append(const std::string& bytes) { text_ += bytes; }
   // The next object or array that is whole; whether it can be read is for its reader to find out.
   std::optional<std::string> next();
   // Something stands between the values that begins none.
-  bool broken() const { return broken_; }
-  std::size_t waiting() const { return text_.size(); }  // bytes of what is not whole yet
+  bool malformed() const { return broken_; }
+  std::size_t buffered_bytes() const { return text_.size(); }  // bytes of what is not whole yet
 
  private:
   std::string text_;
--- a/relay/log.cpp
+++ b/relay/log.cpp
@@ -12,7 +12,7 @@
                static_cast<long long>(now % 1'000'000), line.c_str());
 }
 
-void Tally::add(const char* why) {
+void CountingLog::count(const char* why) {
   const bool waiting = !counts_.empty();
   counts_[why]++;
   if (waiting) return;
--- a/relay/log.hpp
+++ b/relay/log.hpp
@@ -11,11 +11,11 @@
 void log(const std::string& line);
 
 // Guards against a line for each of a crowd's requests, which is a load of its own: a line a second at most.
-class Tally {
+class CountingLog {
  public:
-  Tally(boost::asio::io_context& io, std::string what) : timer_(io), what_(std::move(what)) {}
+  CountingLog(boost::asio::io_context& io, std::string what) : timer_(io), what_(std::move(what)) {}
   // `why` is one of a few texts that the program holds.
-  void add(const char* why);
+  void count(const char* why);
 
  private:
   boost::asio::steady_timer timer_;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -31,7 +31,7 @@
     boost::asio::io_context io(1);
     const message_relay::Config config = message_relay::load_config();
     // While another process still owns the folder, a signal ends this one, which owes nothing yet.
-    message_relay::Possession possession = message_relay::take_possession(config.state_folder);
+    message_relay::StartupOwnership possession = message_relay::acquire_ownership(config.state_folder);
     // Before anything slow: a signal that comes while the journal is read waits for the loop.
     boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
     message_relay::Relay relay(io, config, std::move(possession));
--- a/relay/figures.cpp
+++ b/relay/metrics.cpp
@@ -1,21 +1,21 @@
-#include "figures.hpp"
+#include "metrics.hpp"
 
 namespace message_relay {
 
-Figures::Figures(const configuration::Names& classes) {
+Metrics::Metrics(const configuration::NameIndex& classes) {
   for (const auto& [name, position] : classes) ends_[name];
 }
 
-void Figures::count(const std::string& message_class, End end) {
+void Metrics::count(const std::string& message_class, Completion end) {
   const auto it = ends_.find(message_class);
   if (it == ends_.end()) return;  // of a class that the settings no longer have
   auto& of_class = it->second;
-  (end == End::succeeded  ? of_class.succeeded
-   : end == End::declined ? of_class.declined
-                          : of_class.aborted)++;
+  (end == Completion::succeeded  ? of_class.succeeded
+   : end == Completion::declined ? of_class.declined
+                                 : of_class.aborted)++;
 }
 
-std::string Figures::text(const Present& present) const {
+std::string Metrics::render(const Gauges& present) const {
   std::string all;
   const auto line = [&all](const std::string& name, std::uint64_t n) {
     all += "svc." + name + "=" + std::to_string(n) + "\n";
--- a/relay/figures.hpp
+++ b/relay/metrics.hpp
@@ -10,24 +10,24 @@
 
 namespace message_relay {
 
-enum class End { succeeded, declined, aborted };
+enum class Completion { succeeded, declined, aborted };
 
 // What is so at present: asked of its owners when the figures are read.
-struct Present {
+struct Gauges {
   std::size_t outstanding = 0;  // taken and not yet ended
   std::size_t discovered = 0;   // endpoints in the list
   std::size_t ejected = 0;      // of them avoided now
   std::uint64_t forwards = 0;   // messages written whole to endpoints
 };
 
-class Figures {
+class Metrics {
  public:
   // Every class shows from the start, at 0.
-  explicit Figures(const configuration::Names& classes);
+  explicit Metrics(const configuration::NameIndex& classes);
 
-  void count(const std::string& message_class, End end);
+  void count(const std::string& message_class, Completion end);
   // One line "svc.NAME=NUMBER" each.
-  std::string text(const Present& present) const;
+  std::string render(const Gauges& present) const;
 
  private:
   struct Ends {
--- a/relay/operators.cpp
+++ b/relay/operator_server.cpp
@@ -1,4 +1,4 @@
-#include "operators.hpp"
+#include "operator_server.hpp"
 
 #include <algorithm>
 #include <array>
@@ -25,19 +25,19 @@
 
 }  // namespace
 
-ReadCall read_call(std::string line) {
+ParsedCommand parse_command(std::string line) {
   if (!line.empty() && line.back() == '\r') line.pop_back();
-  static const std::map<std::string, std::pair<Verb, bool>> kVerbs = {
-      {"STATUS", {Verb::status, false}},  {"METRICS", {Verb::metrics, false}},
-      {"SUSPEND", {Verb::suspend, true}}, {"RESTORE", {Verb::restore, true}},
-      {"PAUSE", {Verb::pause, false}},    {"RESUME", {Verb::resume, false}}};
+  static const std::map<std::string, std::pair<OperatorVerb, bool>> kVerbs = {
+      {"STATUS", {OperatorVerb::status, false}},  {"METRICS", {OperatorVerb::metrics, false}},
+      {"SUSPEND", {OperatorVerb::suspend, true}}, {"RESTORE", {OperatorVerb::restore, true}},
+      {"PAUSE", {OperatorVerb::pause, false}},    {"RESUME", {OperatorVerb::resume, false}}};
   const auto space = line.find(' ');
   const auto verb = kVerbs.find(line.substr(0, space));
   if (verb == kVerbs.end())
     return {{}, "unknown call; there are STATUS, METRICS, SUSPEND ID, RESTORE ID, PAUSE and RESUME"};
-  ReadCall read{{verb->second.first, space == std::string::npos ? "" : line.substr(space + 1)}, ""};
+  ParsedCommand read{{verb->second.first, space == std::string::npos ? "" : line.substr(space + 1)}, ""};
   const bool takes_id = verb->second.second;
-  const auto& id = read.call.id;
+  const auto& id = read.command.endpoint;
   if (takes_id && id.empty())
     read.problem = verb->first + " needs the id of an endpoint";
   else if (takes_id && !std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < '\x7f'; }))
@@ -47,9 +47,9 @@
   return read;
 }
 
-class Operators::Session : public std::enable_shared_from_this<Session> {
+class OperatorServer::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Operators& entry, tcp::socket socket)
+  Session(OperatorServer& entry, tcp::socket socket)
       : entry_(entry), socket_(std::move(socket)), timer_(entry.io_) {}
 
   bool replied() const { return replied_; }
@@ -84,8 +84,8 @@
     // Half a line is no call: the rest of an id may be missing.
     if (bad == net::error::eof) return reply("ERR a call is one whole line, with its end\n");
     if (bad) return close();
-    const ReadCall read = read_call(line_.substr(0, size - 1));
-    reply(read.problem.empty() ? entry_.handler_(read.call) : "ERR " + read.problem + "\n");
+    const ParsedCommand read = parse_command(line_.substr(0, size - 1));
+    reply(read.problem.empty() ? entry_.handler_(read.command) : "ERR " + read.problem + "\n");
   }
   void reply(std::string text) {
     replied_ = true;
@@ -107,7 +107,7 @@
     });
   }
 
-  Operators& entry_;
+  OperatorServer& entry_;
   tcp::socket socket_;
   net::steady_timer timer_;
   std::string line_, text_;
@@ -115,13 +115,14 @@
   bool replied_ = false, closed_ = false;
 };
 
-Operators::Operators(net::io_context& io, const tcp::endpoint& address, std::size_t most, Handler handler)
+OperatorServer::OperatorServer(net::io_context& io, const tcp::endpoint& address, std::size_t most,
+                               Handler handler)
     : io_(io), address_(address), acceptor_(io), pause_(io), most_(most), handler_(std::move(handler)) {
   listen();
 }
-Operators::~Operators() = default;
+OperatorServer::~OperatorServer() = default;
 
-void Operators::listen() {
+void OperatorServer::listen() {
   error_code bad, ignored;
   acceptor_.open(address_.protocol(), bad);
   if (!bad) acceptor_.set_option(tcp::acceptor::reuse_address(true), bad);
@@ -136,7 +137,7 @@
   });
 }
 
-void Operators::accept() {
+void OperatorServer::accept() {
   acceptor_.async_accept([this](error_code bad, tcp::socket socket) {
     if (bad == net::error::operation_aborted) return;
     if (bad) {
@@ -155,7 +156,7 @@
 }
 
 // The newest caller is let in whatever the others do: one that has its reply goes first, then the oldest.
-void Operators::make_room() {
+void OperatorServer::make_room() {
   if (sessions_.size() < most_) return;
   const auto served =
       std::find_if(sessions_.begin(), sessions_.end(), [](const auto& s) { return s->replied(); });
--- a/relay/operators.hpp
+++ b/relay/operator_server.hpp
@@ -12,30 +12,30 @@
 
 namespace message_relay {
 
-enum class Verb { status, metrics, suspend, restore, pause, resume };
+enum class OperatorVerb { status, metrics, suspend, restore, pause, resume };
 
-struct OperatorCall {
-  Verb verb = Verb::status;
-  std::string id;  // of an endpoint, where the call names one
+struct OperatorCommand {
+  OperatorVerb verb = OperatorVerb::status;
+  std::string endpoint;  // of an endpoint, where the call names one
 };
 
 // What a line asks for; else why it can't be understood.
-struct ReadCall {
-  OperatorCall call;
+struct ParsedCommand {
+  OperatorCommand command;
   std::string problem;  // empty: none
 };
-ReadCall read_call(std::string line);
+ParsedCommand parse_command(std::string line);
 
-class Operators {
+class OperatorServer {
  public:
   // The whole reply to a call, each line with its end.
-  using Handler = std::function<std::string(const OperatorCall&)>;
+  using Handler = std::function<std::string(const OperatorCommand&)>;
 
   // For `most` callers at a time; listens as soon as the address can be had. Guards against a relay that does
   // not start, or not take over, for want of its operators' address.
-  Operators(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t most,
-            Handler handler);
-  ~Operators();
+  OperatorServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t most,
+                 Handler handler);
+  ~OperatorServer();
 
  private:
   class Session;
--- a/relay/platform.cpp
+++ b/relay/platform.cpp
@@ -7,8 +7,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "json_stream_splitter.hpp"
 #include "log.hpp"
-#include "values.hpp"
 
 namespace message_relay {
 
@@ -16,7 +16,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 using boost::system::error_code;
-using dispatch::event::Loss;
+using dispatch::event::ListLossReason;
 using tcp = net::ip::tcp;
 
 namespace {
@@ -39,7 +39,7 @@
   beast::flat_buffer buffer{kMostList};
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
-  ValueStream text;
+  JsonStreamSplitter text;
   bool answered = false;  // its head has come
   bool told = false;      // a list, too
 };
@@ -55,8 +55,9 @@
   http::response<http::string_body> response;
 };
 
-Platform::Platform(net::io_context& io, const tcp::endpoint& address, const configuration::Tables& names,
-                   const Patience& patience, std::int64_t index, Listed listed, Lost lost, Noticed noticed)
+Platform::Platform(net::io_context& io, const tcp::endpoint& address,
+                   const configuration::SettingNames& names, const PlatformTimeouts& patience,
+                   std::int64_t index, Listed listed, Lost lost, Noticed noticed)
     : io_(io),
       address_(address),
       names_(names),
@@ -67,7 +68,7 @@
       noticed_(std::move(noticed)),
       again_(io),
       backoff_(kFirstBackoff),
-      post_time_(patience.notice) {}
+      post_time_(patience.notice_response) {}
 Platform::~Platform() = default;
 
 // ---- The list. ----
@@ -84,7 +85,7 @@
   query.reset();
 }
 
-void Platform::move(const tcp::endpoint& address) {
+void Platform::relocate(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
   index_ = 0;  // the new one may count anew: it is asked for all
@@ -92,7 +93,7 @@
   // The watch that is begun at the new address brings what these would have.
   drop(fetch_);
   drop(watch_);
-  lost_(Loss::moved);
+  lost_(ListLossReason::relocated);
   kept_.reset();
   if (post_) {
     post_->over = true;
@@ -129,10 +130,10 @@
 }
 
 void Platform::guard(const std::shared_ptr<Query>& query) {
-  query->timer.expires_after(query->answered ? patience_.silent : patience_.answer);
+  query->timer.expires_after(query->answered ? patience_.watch_silence : patience_.list_response);
   query->timer.async_wait([this, query](error_code bad) {
     if (bad || query->over) return;
-    query->answered ? end(query, "silent for too long", Loss::silent) : end(query, "no answer");
+    query->answered ? end(query, "silent for too long", ListLossReason::timed_out) : end(query, "no answer");
   });
 }
 
@@ -145,9 +146,9 @@
           if (query->parser.get().result() != http::status::ok)
             return end(query, "answered " + std::to_string(query->parser.get().result_int()));
           query->answered = true;
-          query->text.put(std::exchange(query->parser.get().body(), {}));
+          query->text.append(std::exchange(query->parser.get().body(), {}));
           guard(query);
-          if (query->text.waiting() > kMostList) return end(query, "a list too long");
+          if (query->text.buffered_bytes() > kMostList) return end(query, "a list too long");
           if (!values(*query)) return end(query, "a list that can't be read");
           if (query->over) return;
         }
@@ -166,7 +167,7 @@
     if (!take(*one, query.follow)) return false;
     if (query.over) return true;
   }
-  return !query.text.broken();
+  return !query.text.malformed();
 }
 
 bool Platform::take(const std::string& text, bool follow) {
@@ -175,24 +176,24 @@
   v.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
   if (v.HasParseError()) return false;
   try {
-    MemberList list = read_members(v, "members", names_);
+    EndpointList list = read_endpoint_list(v, "members", names_);
     // What a whole list says after a move is all there is; changes alone leave in what went before them. One
     // that was overtaken by the watch is asked for again.
-    const bool overtaken = !follow && watch_ && list.index < index_;
-    whole_due_ = whole_due_ && (!list.snapshot || overtaken);
+    const bool overtaken = !follow && watch_ && list.version < index_;
+    whole_due_ = whole_due_ && (!list.is_snapshot || overtaken);
     if (!overtaken) {
-      index_ = list.index;
+      index_ = list.version;
       listed_(std::move(list));
     }
     if (whole_due_) fetch();
     return true;
-  } catch (const configuration::WireError& e) {
+  } catch (const configuration::FieldError& e) {
     log(std::string("discovery: ") + e.what());
     return false;
   }
 }
 
-void Platform::end(const std::shared_ptr<Query>& query, const std::string& why, Loss loss) {
+void Platform::end(const std::shared_ptr<Query>& query, const std::string& why, ListLossReason loss) {
   log(std::string("discovery: ") + (query->follow ? "watch: " : "list: ") + why);
   query->over = true;
   query->timer.cancel();
@@ -200,19 +201,20 @@
   query->socket.close(ignored);
   if (watch_ == query) watch_.reset();
   // The list that was to come whole after a move is as overdue as what a silent watch missed.
-  if (fetch_ == query) fetch_.reset(), loss = Loss::silent;
+  if (fetch_ == query) fetch_.reset(), loss = ListLossReason::timed_out;
   if (whole_due_) index_ = 0;  // the next watch asks for all again
   lost_(loss);
 }
 
 // ---- Notices. ----
-void Platform::notice(MessageId id, const std::string& wire_id, const Ending& ending) {
+void Platform::send_final_notice(MessageId id, const std::string& wire_id, const FinalAnswer& ending) {
   rapidjson::StringBuffer buffer;
   rapidjson::Writer<rapidjson::StringBuffer> w(buffer);
   w.StartObject();
   w.Key("id"), w.String(wire_id.data(), static_cast<rapidjson::SizeType>(wire_id.size()));
-  w.Key("status"), w.String(ending.deferred ? "deferred" : "undeliverable");
-  if (ending.deferred && ending.again > 0) w.Key("again_ms"), w.Int64((ending.again + 999) / 1000);
+  w.Key("status"), w.String(ending.retryable ? "deferred" : "undeliverable");
+  if (ending.retryable && ending.retry_after > 0)
+    w.Key("again_ms"), w.Int64((ending.retry_after + 999) / 1000);
   w.EndObject();
   owed_[id] = std::string(buffer.GetString(), buffer.GetSize()) + "\n";
   if (!post_ && !waiting_) post();
@@ -274,7 +276,7 @@
   post->timer.cancel();
   post_.reset();
   if (problem.empty()) {
-    backoff_ = kFirstBackoff, post_time_ = patience_.notice;
+    backoff_ = kFirstBackoff, post_time_ = patience_.notice_response;
     if (post->response.keep_alive()) kept_ = post->socket;
     return told(post->ids);
   }
--- a/relay/platform.hpp
+++ b/relay/platform.hpp
@@ -11,38 +11,39 @@
 #include <string>
 #include <vector>
 
+#include "endpoint_list.hpp"
 #include "journal.hpp"
-#include "members.hpp"
 #include "settings_reader.hpp"
 
 namespace message_relay {
 
-struct Patience {
-  std::chrono::microseconds answer;  // with a call for the list, until its answer begins
-  std::chrono::microseconds silent;  // with an answer that has begun
-  std::chrono::microseconds notice;  // with notices that are sent, at first; doubled while none is answered
+struct PlatformTimeouts {
+  std::chrono::microseconds list_response;  // with a call for the list, until its answer begins
+  std::chrono::microseconds watch_silence;  // with an answer that has begun
+  std::chrono::microseconds
+      notice_response;  // with notices that are sent, at first; doubled while none is answered
 };
 
 class Platform {
  public:
-  using Listed = std::function<void(MemberList)>;
-  using Lost = std::function<void(dispatch::event::Loss)>;
+  using Listed = std::function<void(EndpointList)>;
+  using Lost = std::function<void(dispatch::event::ListLossReason)>;
   using Noticed = std::function<void(const std::vector<MessageId>&)>;
 
   Platform(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
-           const configuration::Tables& names, const Patience& patience, std::int64_t index, Listed listed,
-           Lost lost, Noticed noticed);
+           const configuration::SettingNames& names, const PlatformTimeouts& patience, std::int64_t index,
+           Listed listed, Lost lost, Noticed noticed);
   ~Platform();
 
   void watch();  // changes from now on; `lost` tells its end
   void unwatch();
   void fetch();  // the whole list, once
   // Discovery is found elsewhere from now on: what is under way at the old address ends, and `lost` tells it.
-  void move(const boost::asio::ip::tcp::endpoint& address);
+  void relocate(const boost::asio::ip::tcp::endpoint& address);
   // Sent until the platform has it; `noticed` tells when.
-  void notice(MessageId id, const std::string& wire_id, const Ending& ending);
-  std::int64_t index() const { return index_; }  // version of the list as it was told last
-  bool notices_owed() const { return !owed_.empty(); }
+  void send_final_notice(MessageId id, const std::string& wire_id, const FinalAnswer& ending);
+  std::int64_t list_version() const { return index_; }  // version of the list as it was told last
+  bool has_pending_notices() const { return !owed_.empty(); }
 
  private:
   struct Query;
@@ -53,7 +54,7 @@
   bool values(Query& query);
   bool take(const std::string& text, bool follow);
   void end(const std::shared_ptr<Query>& query, const std::string& why,
-           dispatch::event::Loss loss = dispatch::event::Loss::failed);
+           dispatch::event::ListLossReason loss = dispatch::event::ListLossReason::failed);
   void guard(const std::shared_ptr<Query>& query);
   void post();
   void told(const std::vector<MessageId>& ids);
@@ -61,8 +62,8 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
-  const configuration::Tables& names_;
-  Patience patience_;
+  const configuration::SettingNames& names_;
+  PlatformTimeouts patience_;
   std::int64_t index_;
   Listed listed_;
   Lost lost_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -12,7 +12,7 @@
 namespace event = dispatch::event;
 namespace action = dispatch::action;
 using boost::system::error_code;
-using dispatch::Listing;
+using dispatch::EndpointStatus;
 using net::ip::tcp;
 
 namespace {
@@ -43,25 +43,25 @@
 
 std::chrono::microseconds span(Time t) { return std::chrono::microseconds(std::max<Time>(t, 0)); }
 
-CallLimits call_limits(const Config& c) {
-  CallLimits limits;
-  limits.slots = static_cast<std::size_t>(c.settings.slots);
+DeliveryLimits call_limits(const Config& c) {
+  DeliveryLimits limits;
+  limits.max_calls_in_flight = static_cast<std::size_t>(c.settings.max_calls_in_flight);
   limits.connect_timeout = c.settings.connect_timeout;
-  limits.idle = c.settings.connection_idle;
-  limits.connections = c.endpoint_connections;
-  limits.reports = c.reports_in_answers;
+  limits.idle_timeout = c.settings.connection_idle_timeout;
+  limits.max_connections = c.endpoint_connections;
+  limits.load_reports_in_responses = c.load_reports_in_responses;
   return limits;
 }
 
 // The list as an earlier life of this relay last had it.
-const MemberList& known_to(const Config& config, const Possession& possession) {
-  return possession.estate ? possession.estate->list : config.known;
+const EndpointList& known_to(const Config& config, const StartupOwnership& possession) {
+  return possession.inherited ? possession.inherited->endpoint_list : config.cached_list;
 }
 
 // A call for the list that nobody answers is given up, and a watch that has fallen silent taken as broken, so
 // soon that another can still tell of a drain within its grace.
-Patience patience(const dispatch::Settings& s) {
-  if (!s.pushed) return {span(s.ask_patience), span(s.watch_patience), kNoticeAnswer};
+PlatformTimeouts patience(const dispatch::Settings& s) {
+  if (!s.list_is_pushed) return {span(s.poll_timeout), span(s.watch_timeout), kNoticeAnswer};
   const auto grace = s.drain_grace > 0 ? std::min(span(s.drain_grace), kMostGrace) : kMostGrace;
   return {grace / 4, kHeartbeat + grace / 2, kNoticeAnswer};
 }
@@ -76,15 +76,15 @@
   return e.address().to_string() + ":" + std::to_string(e.port());
 }
 
-std::vector<dispatch::Endpoint> endpoints_of(const MemberList& list) {
+std::vector<dispatch::Endpoint> endpoints_of(const EndpointList& list) {
   std::vector<dispatch::Endpoint> endpoints;
-  for (const auto& m : list.members) endpoints.push_back(m.endpoint);
+  for (const auto& m : list.entries) endpoints.push_back(m.endpoint);
   return endpoints;
 }
 
 }  // namespace
 
-Relay::Relay(net::io_context& io, const Config& config, Possession possession)
+Relay::Relay(net::io_context& io, const Config& config, StartupOwnership possession)
     : io_(io),
       config_(config),
       possession_(std::move(possession)),
@@ -92,14 +92,14 @@
       dispatcher_(config.settings, config.seed),
       calls_(io, call_limits(config), [this](const event::AttemptEnded& e) { ended(e); }),
       platform_(
-          io, config.discovery, config.names, patience(config.settings), known_to(config, possession_).index,
-          [this](MemberList list) { listed(std::move(list)); },
-          [this](event::Loss why) { happened(event::ListFailed{why}); },
+          io, config.discovery, config.setting_names, patience(config.settings),
+          known_to(config, possession_).version, [this](EndpointList list) { listed(std::move(list)); },
+          [this](event::ListLossReason why) { happened(event::EndpointListLost{why}); },
           [this](const std::vector<MessageId>& ids) {
             for (const MessageId id : ids) noticed(id);
             settle();
           }),
-      figures_(config.names.classes),
+      figures_(config.setting_names.classes),
       recent_(longest_deadline(config.settings)),
       round_timer_(io),
       module_timer_(io),
@@ -107,34 +107,35 @@
       drain_timer_(io),
       handover_timer_(io) {
   const auto& s = config.settings;
-  if (s.peers && config.peer_listen)
-    peers_.emplace(io, *config.peer_listen, config.peers, config.peers_all, s.rank,
+  if (s.gossip && config.peer_listen)
+    peers_.emplace(io, *config.peer_listen, config.peers, config.peers_all, s.relay_index,
                    [this](int from, std::string body) {
-                     happened(event::PeerNote{from, std::move(body)});
+                     happened(event::GossipReceived{from, std::move(body)});
                    });
-  const MemberList& known = known_to(config, possession_);
-  for (const auto& m : known.members) {
-    calls_.locate(m.endpoint.id, m.address);
+  const EndpointList& known = known_to(config, possession_);
+  for (const auto& m : known.entries) {
+    calls_.set_address(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
     destinations_.insert(m.endpoint.destination);
     ever_listed_.insert(m.endpoint.id);
   }
-  events_.push_back(event::ListWhole{endpoints_of(known), true});
-  if (possession_.estate) take_over(*possession_.estate);
-  recover(possession_.estate ? possession_.estate->calls : std::vector<OpenCall>());
+  events_.push_back(event::EndpointListSnapshot{endpoints_of(known), true});
+  if (possession_.inherited) take_over(*possession_.inherited);
+  recover(possession_.inherited ? possession_.inherited->calls : std::vector<InFlightCall>());
   round();
   intake_.emplace(
-      io, listener(), config.settings, config.names,
-      IntakeLimits{config.client_connections, config.memory_bytes / kBodyPart},
-      [this](Message m, Reply reply) { arrive(std::move(m), std::move(reply)); }, [this] { return ready(); });
-  if (possession_.estate) {
-    for (const auto& client : possession_.estate->clients) intake_->adopt(client);
+      io, listener(), config.settings, config.setting_names,
+      IngressLimits{config.client_connections, config.memory_bytes / kBodyPart},
+      [this](Message m, ResponseCallback reply) { arrive(std::move(m), std::move(reply)); },
+      [this] { return ready(); });
+  if (possession_.inherited) {
+    for (const auto& client : possession_.inherited->clients) intake_->adopt(client);
     if (paused_) intake_->drain(true);
-    log("took over " + std::to_string(possession_.estate->clients.size()) + " clients' connections, " +
-        std::to_string(possession_.estate->calls.size()) + " calls out");
-    possession_.estate.reset();
+    log("took over " + std::to_string(possession_.inherited->clients.size()) + " clients' connections, " +
+        std::to_string(possession_.inherited->calls.size()) + " calls out");
+    possession_.inherited.reset();
   }
-  successors_.emplace(io, config.state_folder, [this](Channel channel) {
+  successors_.emplace(io, config.state_folder, [this](HandoverChannel channel) {
     // The newest is served: one that asked before may have left since, and asks again if it has not.
     const bool waiting = successor_.has_value();
     successor_ = std::move(channel);
@@ -144,107 +145,110 @@
   });
   if (config.operators)
     operators_.emplace(io, *config.operators, config.operator_connections,
-                       [this](const OperatorCall& call) { return operate(call); });
+                       [this](const OperatorCommand& call) { return operate(call); });
   log("listening as " + config.name);
 }
 
 // What was taken on in an earlier life is still owed its end.
-void Relay::recover(const std::vector<OpenCall>& calls) {
+void Relay::recover(const std::vector<InFlightCall>& calls) {
   if (journal_.dropped_bytes() > 0)
     log("journal: dropped " + std::to_string(journal_.dropped_bytes()) + " torn bytes at its end");
-  for (const auto& endpoint : journal_.suspended()) events_.push_back(event::Suspended{endpoint, true});
-  std::map<MessageId, event::CallOut> out;
+  for (const auto& endpoint : journal_.suspended_endpoints())
+    events_.push_back(event::EndpointSuspension{endpoint, true});
+  std::map<MessageId, event::CallInFlight> out;
   for (std::size_t i = 0; i < calls.size(); i++)
-    for (const auto& m : calls[i].messages) out[m.id] = {calls[i].endpoint, i, m.attempt, calls[i].sent};
+    for (const auto& m : calls[i].messages) out[m.id] = {calls[i].endpoint, i, m.attempt, calls[i].sent_at};
   std::vector<MessageId> unknown;
-  for (const auto& [id, held] : journal_.held()) {
+  for (const auto& [id, held] : journal_.messages()) {
     next_number_ = std::max(next_number_, id + 1);
     numbers_[held.message.id] = id;
-    if (held.ending) {
-      platform_.notice(id, held.message.id, *held.ending);
+    if (held.final_answer) {
+      platform_.send_final_notice(id, held.message.id, *held.final_answer);
       continue;
     }
-    if (config_.names.classes.count(held.message.message_class) == 0) {
+    if (config_.setting_names.classes.count(held.message.message_class) == 0) {
       unknown.push_back(id);
       continue;
     }
-    event::Recovered r;
+    event::MessageRecovered r;
     r.message = arrival(id, held.message);
-    r.attempts = static_cast<int>(held.attempts.size());
-    if (const auto call = out.find(id); call != out.end()) r.out = call->second;
+    r.attempts_made = static_cast<int>(held.attempts.size());
+    if (const auto call = out.find(id); call != out.end()) r.in_flight = call->second;
     for (const auto& a : held.attempts) {
-      const bool is_out = r.out && &a - held.attempts.data() == r.out->attempt;
-      if (is_out || !a.may_have_run() || r.may_have_run_zone) continue;
-      r.may_have_run_zone = a.zone;
-      r.may_have_run_sent = steady_now() - std::max<Time>(wall_now() - a.sent, 0);
+      const bool is_out = r.in_flight && &a - held.attempts.data() == r.in_flight->attempt;
+      if (is_out || !a.may_have_executed() || r.possible_execution_zone) continue;
+      r.possible_execution_zone = a.zone;
+      r.possible_execution_sent_at = steady_now() - std::max<Time>(wall_now() - a.sent_at, 0);
     }
     events_.push_back(std::move(r));
   }
   Plan plan;
   for (const MessageId id : unknown) finish(plan, id, {});  // a class that the settings no longer have
   stalled_.push_back(std::move(plan));
-  if (!journal_.held().empty()) log("recovered " + std::to_string(journal_.held().size()) + " messages");
+  if (!journal_.messages().empty())
+    log("recovered " + std::to_string(journal_.messages().size()) + " messages");
 }
 
 // What is not in the journal of what another process handed over.
-void Relay::take_over(const Estate& estate) {
-  list_told_ = estate.list_told, paused_ = estate.paused, next_number_ = estate.next_number;
+void Relay::take_over(const HandoverState& estate) {
+  list_told_ = estate.list_received, paused_ = estate.paused, next_number_ = estate.next_number;
   destinations_.insert(estate.destinations.begin(), estate.destinations.end());
   ever_listed_.insert(estate.ever_listed.begin(), estate.ever_listed.end());
-  recent_.restore(estate.recent);
-  events_.push_back(event::Recalled{estate.learnt});
+  recent_.restore(estate.completed_ids);
+  events_.push_back(event::LearnedStateRestored{estate.learned_state});
   for (const auto& call : estate.calls) calls_.adopt(call);
 }
 
 // The other process's, which never stops listening; else a new one.
 tcp::acceptor Relay::listener() const {
-  if (!possession_.estate) return tcp::acceptor(io_, config_.listen);
-  return tcp::acceptor(io_, config_.listen.protocol(), possession_.estate->listener);
+  if (!possession_.inherited) return tcp::acceptor(io_, config_.listen);
+  return tcp::acceptor(io_, config_.listen.protocol(), possession_.inherited->listener);
 }
 
 event::Arrival Relay::arrival(MessageId id, const Message& m) const {
   event::Arrival a;
   a.id = id;
   a.destination = m.destination;
-  a.message_class = config_.names.classes.at(m.message_class);
-  a.tenant = configuration::position(config_.names.tenants, m.tenant);
-  a.time_left = m.deadline - wall_now();
-  a.repeat = m.repeat;
+  a.message_class = config_.setting_names.classes.at(m.message_class);
+  a.tenant = configuration::index_of(config_.setting_names.tenants, m.tenant);
+  a.time_to_deadline = m.deadline - wall_now();
+  a.resubmitted = m.resubmitted;
   a.order_key = m.order_key;
   return a;
 }
 
 bool Relay::ready() const {
-  const auto active = [](const auto& entry) { return entry.second.listing == Listing::active; };
+  const auto active = [](const auto& entry) { return entry.second.status == EndpointStatus::active; };
   return !stopping_ && !paused_ && !unwritten_ && std::any_of(endpoints_.begin(), endpoints_.end(), active);
 }
 
 // ---- What comes in. ----
-void Relay::arrive(Message message, Reply reply) {
+void Relay::arrive(Message message, ResponseCallback reply) {
   // Of one id at a time: what the first is told holds for all.
   if (const auto first = twins_.find(message.id); first != twins_.end())
     return first->second.push_back(std::move(reply));
-  // Handed in once more on a new connection, since the answer was lost: it is ours already. One that is over
-  // must not be sent again either.
-  if (numbers_.count(message.id) > 0 || recent_.has(message.id)) return reply({202, 0});
+  // ParsedRequest in once more on a new connection, since the answer was lost: it is ours already. One that
+  // is over must not be sent again either.
+  if (numbers_.count(message.id) > 0 || recent_.contains(message.id)) return reply({202, 0});
   // Before discovery has told its list, an unknown destination may only be unknown yet.
   if (destinations_.count(message.destination) == 0)
-    return list_told_ ? reply({404, 0, "unknown destination"})
-                      : (figures_.count(message.message_class, End::declined), reply({503, kComeBack}));
-  const std::size_t open = arrived_.size() + journal_.open();
-  if (open >= static_cast<std::size_t>(config_.settings.open_max) || unwritten_ ||
-      !journal_.room_for(message, arrived_cost_))
-    return figures_.count(message.message_class, End::declined), reply({503, kComeBack});
+    return list_told_
+               ? reply({404, 0, "unknown destination"})
+               : (figures_.count(message.message_class, Completion::declined), reply({503, kComeBack}));
+  const std::size_t open = arrived_.size() + journal_.unanswered_count();
+  if (open >= static_cast<std::size_t>(config_.settings.max_open_messages) || unwritten_ ||
+      !journal_.has_capacity_for(message, arrived_cost_))
+    return figures_.count(message.message_class, Completion::declined), reply({503, kComeBack});
   reply = shared(message.id, std::move(reply));
-  arrived_cost_ += Journal::cost(message);
+  arrived_cost_ += Journal::reserved_bytes(message);
   arrived_.push_back({std::move(message), std::move(reply)});
   schedule();
 }
 
 // A reply that answers all that hand in this id until then.
-Reply Relay::shared(const std::string& id, Reply reply) {
+ResponseCallback Relay::shared(const std::string& id, ResponseCallback reply) {
   twins_[id];
-  return [this, id, reply = std::move(reply)](const Answer& a) {
+  return [this, id, reply = std::move(reply)](const ClientResponse& a) {
     reply(a);
     const auto twins = twins_.extract(id);
     for (const auto& twin : twins.mapped()) twin(a);
@@ -252,43 +256,44 @@
 }
 
 void Relay::ended(const event::AttemptEnded& e) {
-  if (e.closed)
-    over(e.id, e.outcome == Outcome::served ? std::optional(End::succeeded) : std::nullopt);
-  else if (journal_.held().count(e.id) > 0)
-    journal_.outcome(e.id, e.attempt, e.outcome);
+  if (e.message_settled)
+    over(e.id, e.outcome == Outcome::succeeded ? std::optional(Completion::succeeded) : std::nullopt);
+  else if (journal_.messages().count(e.id) > 0)
+    journal_.record_outcome(e.id, e.attempt, e.outcome);
   settle();
   happened(e);
   // Guards against calls whose connections come up after the wait was told.
-  if (e.told_wait > 0) hold_back(e.endpoint);
+  if (e.retry_after > 0) hold_back(e.endpoint);
 }
 
 void Relay::hold_back(const EndpointId& endpoint) {
   const auto it = endpoints_.find(endpoint);
   if (it == endpoints_.end()) return;
   const auto kind = static_cast<std::size_t>(it->second.kind);
-  const bool apart = kind < config_.settings.kinds.size() && config_.settings.kinds[kind].routes_apart;
+  const bool apart = kind < config_.settings.kinds.size() && config_.settings.kinds[kind].independent_routes;
   for (const auto& [id, e] : endpoints_)
-    if (id == endpoint || (!apart && e.destination == it->second.destination)) calls_.hold_back(id);
+    if (id == endpoint || (!apart && e.destination == it->second.destination)) calls_.cancel_unsent(id);
 }
 
 // So that a call can be held against the list it was decided by.
-void Relay::log_list(const MemberList& list) {
+void Relay::log_list(const EndpointList& list) {
   std::string leaving;
-  for (const auto& m : list.members)
-    if (m.endpoint.listing != Listing::active) leaving += " " + m.endpoint.id;
-  log("discovery: version " + std::to_string(list.index) + ", " + (list.snapshot ? "whole, " : "changes, ") +
-      std::to_string(list.members.size()) + " endpoints" + (leaving.empty() ? "" : "; leaving:" + leaving));
+  for (const auto& m : list.entries)
+    if (m.endpoint.status != EndpointStatus::active) leaving += " " + m.endpoint.id;
+  log("discovery: version " + std::to_string(list.version) + ", " +
+      (list.is_snapshot ? "whole, " : "changes, ") + std::to_string(list.entries.size()) + " endpoints" +
+      (leaving.empty() ? "" : "; leaving:" + leaving));
 }
 
-void Relay::listed(MemberList list) {
-  if (list.snapshot) {
+void Relay::listed(EndpointList list) {
+  if (list.is_snapshot) {
     std::set<EndpointId> named;
-    for (const auto& m : list.members) named.insert(m.endpoint.id);
+    for (const auto& m : list.entries) named.insert(m.endpoint.id);
     for (auto& [id, e] : endpoints_)
-      if (named.count(id) == 0) e.listing = Listing::gone;
+      if (named.count(id) == 0) e.status = EndpointStatus::removed;
   }
-  for (const auto& m : list.members) {
-    calls_.locate(m.endpoint.id, m.address);
+  for (const auto& m : list.entries) {
+    calls_.set_address(m.endpoint.id, m.address);
     endpoints_[m.endpoint.id] = m.endpoint;
     destinations_.insert(m.endpoint.destination);
     ever_listed_.insert(m.endpoint.id);
@@ -296,11 +301,11 @@
   list_told_ = true;
   log_list(list);
   for (const auto& [id, e] : endpoints_) {
-    if (e.listing == Listing::active) continue;
+    if (e.status == EndpointStatus::active) continue;
     leave(id);
-    if (e.listing == Listing::gone) calls_.forget(id);
+    if (e.status == EndpointStatus::removed) calls_.forget(id);
   }
-  std::erase_if(endpoints_, [](const auto& entry) { return entry.second.listing == Listing::gone; });
+  std::erase_if(endpoints_, [](const auto& entry) { return entry.second.status == EndpointStatus::removed; });
   if (destinations_.size() > kMostDestinations + endpoints_.size()) {
     destinations_.clear();
     for (const auto& [id, e] : endpoints_) destinations_.insert(e.destination);
@@ -309,16 +314,16 @@
     ever_listed_.clear();
     for (const auto& [id, e] : endpoints_) ever_listed_.insert(id);
   }
-  if (list.snapshot)
-    happened(event::ListWhole{endpoints_of(list), false});
+  if (list.is_snapshot)
+    happened(event::EndpointListSnapshot{endpoints_of(list), false});
   else
-    happened(event::ListChanges{endpoints_of(list)});
+    happened(event::EndpointListUpdate{endpoints_of(list)});
 }
 
 void Relay::schedule() {
   if (round_due_) return;
   round_due_ = true;
-  round_timer_.expires_after(span(last_round_ + config_.settings.tick - steady_now()));
+  round_timer_.expires_after(span(last_round_ + config_.settings.min_round_interval - steady_now()));
   round_timer_.async_wait([this](error_code bad) {
     if (!bad) round();
   });
@@ -336,7 +341,7 @@
     numbers_[a.message.id] = id;
     events_.push_back(arrival(id, a.message));
     unanswered_[id] = std::move(a.reply);
-    journal_.take(id, std::move(a.message));
+    journal_.record_message(id, std::move(a.message));
   }
   if (!frozen_) decide(plan);
   for (auto& [id, reply] : unanswered_) plan.answers.push_back({id, std::move(reply), {202, 0}});
@@ -353,46 +358,46 @@
   for (const auto& a : actions) {
     if (const auto* x = std::get_if<action::Send>(&a))
       send(plan, *x);
-    else if (const auto* r = std::get_if<action::Refuse>(&a))
-      finish(plan, r->id, {true, r->come_back});
+    else if (const auto* r = std::get_if<action::Reject>(&a))
+      finish(plan, r->id, {true, r->retry_after});
     else if (const auto* f = std::get_if<action::Fail>(&a))
       finish(plan, f->id, {false, 0});
     else if (const auto* c = std::get_if<action::Cancel>(&a))
       calls_.cancel(c->id, c->attempt);
-    else if (const auto* i = std::get_if<action::CloseIdle>(&a))
+    else if (const auto* i = std::get_if<action::CloseIdleConnections>(&a))
       calls_.close_idle(i->endpoint);
     else if (const auto* t = std::get_if<action::SetTimer>(&a))
       set_timer(t->after, t->token);
-    else if (std::holds_alternative<action::FetchList>(a))
+    else if (std::holds_alternative<action::FetchEndpointList>(a))
       platform_.fetch();
     else if (const auto* s = std::get_if<action::Subscribe>(&a))
-      s->on ? platform_.watch() : platform_.unwatch();
-    else if (const auto* n = std::get_if<action::TellPeer>(&a))
-      peers_ ? peers_->tell(n->whom, n->body) : void();
+      s->enabled ? platform_.watch() : platform_.unwatch();
+    else if (const auto* n = std::get_if<action::SendGossip>(&a))
+      peers_ ? peers_->send(n->recipient, n->payload) : void();
     else if (const auto* l = std::get_if<action::Log>(&a))
       log(l->text);
   }
 }
 
 void Relay::send(Plan& plan, const action::Send& a) {
-  const auto held = journal_.held().find(a.id);
+  const auto held = journal_.messages().find(a.id);
   const auto endpoint = endpoints_.find(a.endpoint);
-  if (held == journal_.held().end() || held->second.ending) return;
+  if (held == journal_.messages().end() || held->second.final_answer) return;
   const auto& h = held->second;
   const int zone = endpoint == endpoints_.end() ? -1 : endpoint->second.zone;
   const auto kind =
       endpoint == endpoints_.end() ? std::size_t{0} : static_cast<std::size_t>(endpoint->second.kind);
   const auto& kinds = config_.settings.kinds;
-  const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].bundle_max : 1);
-  Outgoing one{a.id,
-               static_cast<int>(h.attempts.size()),
-               a.timeout,
-               h.message.id,
-               h.message.body,
-               h.message.key,
-               h.message.deadline - wall_now() - 2 * config_.settings.tick};
-  if (a.begin > 0) one.begin_by = last_round_ + a.begin;
-  journal_.sent(a.id, wall_now(), zone);
+  const auto most = static_cast<std::size_t>(kind < kinds.size() ? kinds[kind].max_batch_size : 1);
+  OutgoingMessage one{a.id,
+                      static_cast<int>(h.attempts.size()),
+                      a.timeout,
+                      h.message.id,
+                      h.message.body,
+                      h.message.idempotency_key,
+                      h.message.deadline - wall_now() - 2 * config_.settings.min_round_interval};
+  if (a.start_within > 0) one.start_by = last_round_ + a.start_within;
+  journal_.record_attempt(a.id, wall_now(), zone);
   // Sends of one round to one endpoint travel as one call, up to so many.
   const auto open = std::find_if(plan.calls.begin(), plan.calls.end(), [&](const auto& call) {
     return call.first == a.endpoint && call.second.size() < most;
@@ -400,38 +405,39 @@
   if (open != plan.calls.end())
     open->second.push_back(std::move(one));
   else
-    plan.calls.emplace_back(a.endpoint, std::vector<Outgoing>{std::move(one)});
+    plan.calls.emplace_back(a.endpoint, std::vector<OutgoingMessage>{std::move(one)});
 }
 
 // An end that is not a delivery: told in the answer where the client still waits for it, else by a notice.
-void Relay::finish(Plan& plan, MessageId id, const Ending& ending) {
-  const auto held = journal_.held().find(id);
-  if (held == journal_.held().end() || held->second.ending) return;
+void Relay::finish(Plan& plan, MessageId id, const FinalAnswer& ending) {
+  const auto held = journal_.messages().find(id);
+  if (held == journal_.messages().end() || held->second.final_answer) return;
   if (const auto waiting = unanswered_.find(id); waiting != unanswered_.end()) {
     plan.answers.push_back(
-        {0, std::move(waiting->second), ending.deferred ? Answer{503, ending.again} : Answer{504, 0}});
+        {0, std::move(waiting->second),
+         ending.retryable ? ClientResponse{503, ending.retry_after} : ClientResponse{504, 0}});
     unanswered_.erase(waiting);
-    return over(id, ending.deferred ? End::declined : End::aborted, false);
+    return over(id, ending.retryable ? Completion::declined : Completion::aborted, false);
   }
-  journal_.ending(id, ending);
+  journal_.record_final_answer(id, ending);
   plan.endings.push_back(id);
 }
 
 // The platform has its notice.
 void Relay::noticed(MessageId id) {
-  const auto held = journal_.held().find(id);
-  if (held == journal_.held().end() || !held->second.ending) return;
-  over(id, held->second.ending->deferred ? End::declined : End::aborted);
+  const auto held = journal_.messages().find(id);
+  if (held == journal_.messages().end() || !held->second.final_answer) return;
+  over(id, held->second.final_answer->retryable ? Completion::declined : Completion::aborted);
 }
 
 // The one point where a message's end is settled; none where it was over without this relay.
-void Relay::over(MessageId id, std::optional<End> end, bool was_taken_on) {
-  const auto held = journal_.held().find(id);
-  if (held == journal_.held().end()) return;
+void Relay::over(MessageId id, std::optional<Completion> end, bool was_taken_on) {
+  const auto held = journal_.messages().find(id);
+  if (held == journal_.messages().end()) return;
   if (end) figures_.count(held->second.message.message_class, *end);
   if (was_taken_on) recent_.add(held->second.message.id, steady_now());
   numbers_.erase(held->second.message.id);
-  journal_.over(id);
+  journal_.record_completed(id);
 }
 
 // Writes the records, then does what waited for them.
@@ -444,8 +450,8 @@
       for (auto& a : plan.answers) {
         a.reply({503, kComeBack});
         if (a.id == 0) continue;
-        over(a.id, End::declined, false);
-        happened(event::Withdrawn{a.id});
+        over(a.id, Completion::declined, false);
+        happened(event::ClientCancelled{a.id});
       }
       plan.answers.clear();
     }
@@ -460,27 +466,30 @@
 
 void Relay::carry_out(Plan plan) {
   for (auto& a : plan.answers) a.reply(a.answer);
-  for (auto& [endpoint, messages] : plan.calls) {
-    std::erase_if(messages, [&](const Outgoing& m) {
-      if (journal_.held().count(m.id) > 0) return false;
+  for (auto& call : plan.calls) {
+    const EndpointId& endpoint = call.first;
+    auto& messages = call.second;
+    std::erase_if(messages, [&](const OutgoingMessage& m) {
+      if (journal_.messages().count(m.id) > 0) return false;
       // Withdrawn while its records could not be written.
       event::AttemptEnded e;
       e.id = m.id, e.attempt = m.attempt, e.endpoint = endpoint, e.outcome = Outcome::not_sent,
-      e.closed = true;
+      e.message_settled = true;
       happened(e);
       return true;
     });
     if (messages.empty()) continue;
     const auto listed = endpoints_.find(endpoint);
-    const bool left = journal_.suspended().count(endpoint) > 0 || listed == endpoints_.end() ||
-                      listed->second.listing != Listing::active;
+    const bool left = journal_.suspended_endpoints().count(endpoint) > 0 || listed == endpoints_.end() ||
+                      listed->second.status != EndpointStatus::active;
     calls_.send(endpoint, std::move(messages));
     // Left out while the records could not be written: ends as not sent.
-    if (left) calls_.hold_back(endpoint);
+    if (left) calls_.cancel_unsent(endpoint);
   }
   for (const MessageId id : plan.endings) {
-    const auto held = journal_.held().find(id);
-    if (held != journal_.held().end()) platform_.notice(id, held->second.message.id, *held->second.ending);
+    const auto held = journal_.messages().find(id);
+    if (held != journal_.messages().end())
+      platform_.send_final_notice(id, held->second.message.id, *held->second.final_answer);
   }
 }
 
@@ -497,7 +506,7 @@
     if (bad) return;
     const Time now = steady_now();
     while (!timers_.empty() && timers_.begin()->first <= now) {
-      happened(event::TimerDue{timers_.begin()->second});
+      happened(event::TimerExpired{timers_.begin()->second});
       timers_.erase(timers_.begin());
     }
     arm_timers();
@@ -513,24 +522,24 @@
 }
 
 // ---- What operators ask for. ----
-std::string Relay::operate(const OperatorCall& call) {
+std::string Relay::operate(const OperatorCommand& call) {
   switch (call.verb) {
-    case Verb::status:
+    case OperatorVerb::status:
       return status();
-    case Verb::metrics:
+    case OperatorVerb::metrics:
       return figures();
-    case Verb::suspend:
-    case Verb::restore:
-      return suspend(call.id, call.verb == Verb::suspend);
-    case Verb::pause:
-    case Verb::resume:
-      return pause(call.verb == Verb::pause);
+    case OperatorVerb::suspend:
+    case OperatorVerb::restore:
+      return suspend(call.endpoint, call.verb == OperatorVerb::suspend);
+    case OperatorVerb::pause:
+    case OperatorVerb::resume:
+      return pause(call.verb == OperatorVerb::pause);
   }
   return "ERR unknown call\n";
 }
 
 std::string Relay::status() const {
-  if (ready()) return "OK " + std::to_string(journal_.held().size()) + " messages held\n";
+  if (ready()) return "OK " + std::to_string(journal_.messages().size()) + " messages held\n";
   return std::string("ERR ") +
          (stopping_    ? "stopping"
           : paused_    ? "paused; RESUME ends it"
@@ -540,29 +549,29 @@
 }
 
 std::string Relay::figures() const {
-  Present now;
-  now.outstanding = journal_.held().size();
+  Gauges now;
+  now.outstanding = journal_.messages().size();
   now.discovered = endpoints_.size();
-  now.ejected = dispatcher_.avoided();
-  now.forwards = calls_.written();
-  return figures_.text(now) + "END\n";
+  now.ejected = dispatcher_.ejected_endpoint_count();
+  now.forwards = calls_.messages_written();
+  return figures_.render(now) + "END\n";
 }
 
 // Nothing new goes to an endpoint from now on, by connections that still come up neither.
 void Relay::leave(const EndpointId& endpoint) {
-  calls_.hold_back(endpoint);
+  calls_.cancel_unsent(endpoint);
   calls_.close_idle(endpoint);
 }
 
 std::string Relay::suspend(const EndpointId& id, bool on) {
-  if (ever_listed_.count(id) == 0 && journal_.suspended().count(id) == 0)
+  if (ever_listed_.count(id) == 0 && journal_.suspended_endpoints().count(id) == 0)
     return "ERR no list has named " + id + "\n";
-  const bool changes = on != (journal_.suspended().count(id) > 0);
+  const bool changes = on != (journal_.suspended_endpoints().count(id) > 0);
   if (changes) {
-    journal_.suspend(id, on);
+    journal_.record_suspension(id, on);
     if (on) leave(id);
     // Decided in a round of its own: calls decided before it have gone, those of later ones keep it.
-    events_.emplace_back(event::Suspended{id, on});
+    events_.emplace_back(event::EndpointSuspension{id, on});
     round();
     log(std::string(on ? "suspended " : "restored ") + id + " by hand");
   }
@@ -577,35 +586,35 @@
     log(on ? "paused by hand" : "resumed by hand");
     intake_->drain(on);
   }
-  return std::string("OK ") + (on ? "paused, " : "at work, ") + std::to_string(journal_.held().size()) +
+  return std::string("OK ") + (on ? "paused, " : "at work, ") + std::to_string(journal_.messages().size()) +
          " messages held\n";
 }
 
 // ---- A new configuration. ----
 void Relay::reconfigure(const Config& config) {
   log("configuration read again: discovery at " + text_of(config.discovery));
-  platform_.move(config.discovery);
+  platform_.relocate(config.discovery);
 }
 
 // ---- The process that takes over. ----
-Estate Relay::estate() {
-  Estate e;
-  e.list.index = platform_.index();
+HandoverState Relay::estate() {
+  HandoverState e;
+  e.endpoint_list.version = platform_.list_version();
   for (const auto& [id, endpoint] : endpoints_)
-    if (const auto address = calls_.located(id)) e.list.members.push_back({endpoint, *address});
-  e.list_told = list_told_, e.paused = paused_, e.next_number = next_number_;
-  e.learnt = dispatcher_.learnt();
+    if (const auto address = calls_.address_of(id)) e.endpoint_list.entries.push_back({endpoint, *address});
+  e.list_received = list_told_, e.paused = paused_, e.next_number = next_number_;
+  e.learned_state = dispatcher_.learned_state();
   e.ever_listed.assign(ever_listed_.begin(), ever_listed_.end());
   e.destinations.assign(destinations_.begin(), destinations_.end());
-  e.recent.assign(recent_.all().begin(), recent_.all().end());
-  e.calls = calls_.open_calls();
-  e.clients = intake_->open_clients();
+  e.completed_ids.assign(recent_.entries().begin(), recent_.entries().end());
+  e.calls = calls_.in_flight_calls();
+  e.clients = intake_->idle_clients();
   e.listener = intake_->listener();
   // For an instant both processes hold each descriptor. Of connections that would be too many those go that
   // were used and have been idle longest; a first request that may be on its way would be turned back
   // unheard.
-  std::sort(e.clients.begin(), e.clients.end(), [](const OpenClient& a, const OpenClient& b) {
-    return a.used != b.used ? b.used : a.since > b.since;
+  std::sort(e.clients.begin(), e.clients.end(), [](const IdleClient& a, const IdleClient& b) {
+    return a.served_before != b.served_before ? b.served_before : a.idle_since > b.idle_since;
   });
   const std::size_t all = config_.client_connections + config_.endpoint_connections;
   const std::size_t room = all / 2 - std::min(all / 2, e.calls.size() + kOtherFiles);
@@ -617,7 +626,7 @@
   // Calls that are being connected or written and requests that are being read can't change hands: an instant
   // without them comes soon. Where it does not, such calls end as not sent and such clients are cut off.
   const bool quiet = events_.empty() && arrived_.empty() && unanswered_.empty() && stalled_.empty() &&
-                     !compacting_ && calls_.all_written() && intake_->between_requests();
+                     !compacting_ && calls_.all_calls_written() && intake_->all_between_requests();
   if (!quiet && steady_now() - asked_at_ < kQuietMost) {
     handover_timer_.expires_after(kQuietLook);
     return handover_timer_.async_wait([this](error_code bad) {
@@ -625,15 +634,15 @@
     });
   }
   if (!quiet) round();
-  calls_.hold_back_unwritten();
+  calls_.cancel_all_unsent();
   calls_.close_all_idle();
-  Channel successor = std::move(*successor_);
+  HandoverChannel successor = std::move(*successor_);
   successor_.reset();
-  if (unwritten_ || !journal_.rest()) return log("handover: not while the journal can't be written");
-  const Estate all = estate();
+  if (unwritten_ || !journal_.consolidate()) return log("handover: not while the journal can't be written");
+  const HandoverState all = estate();
   if (!message_relay::hand_over(successor, all, possession_.lock.get()))
     return log("handover: the other process did not take over; going on");
-  log("handed over: " + std::to_string(journal_.held().size()) + " messages held, " +
+  log("handed over: " + std::to_string(journal_.messages().size()) + " messages held, " +
       std::to_string(all.clients.size()) + " clients' connections, " + std::to_string(all.calls.size()) +
       " calls out");
   // Nothing more is done here: closing in an orderly way would shut connections that are the other's by now.
@@ -643,7 +652,7 @@
 // ---- The end. ----
 void Relay::stop(std::function<void()> done) {
   if (std::exchange(stopping_, true)) return;
-  log("stopping: " + std::to_string(journal_.held().size()) + " messages held");
+  log("stopping: " + std::to_string(journal_.messages().size()) + " messages held");
   done_ = std::move(done);
   stop_at_ = steady_now();
   intake_->drain(true);
@@ -653,11 +662,11 @@
 void Relay::check_drained() {
   const Time since = steady_now() - stop_at_;
   if (!frozen_ && since >= kDrainSend) frozen_ = true;
-  const bool home = calls_.out() == 0 && (frozen_ || journal_.held().empty());
+  const bool home = calls_.in_flight_count() == 0 && (frozen_ || journal_.messages().empty());
   const bool quiet = since >= kDrainAccept && !intake_->busy() && arrived_.empty();
   if (since >= kDrainMost || (home && quiet && !unwritten_)) {
-    log("stopped: " + std::to_string(journal_.held().size()) + " messages left in the journal, " +
-        std::to_string(calls_.out()) + " calls out");
+    log("stopped: " + std::to_string(journal_.messages().size()) + " messages left in the journal, " +
+        std::to_string(calls_.in_flight_count()) + " calls out");
     return done_();
   }
   drain_timer_.expires_after(kDrainLook);
--- a/relay/request.cpp
+++ b/relay/request_parser.cpp
@@ -1,4 +1,4 @@
-#include "request.hpp"
+#include "request_parser.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -58,11 +58,11 @@
 
 }  // namespace
 
-Handed read_message(Request& request, const dispatch::Settings& settings,
-                    const configuration::Tables& names) {
-  Handed h;
+ParsedRequest parse_request(Request& request, const dispatch::Settings& settings,
+                            const configuration::SettingNames& names) {
+  ParsedRequest h;
   const auto refuse = [&h](unsigned status, const char* why) {
-    h.refused = status, h.why = why;
+    h.rejection_status = status, h.rejection_reason = why;
     return h;
   };
   // The class is the first part of the path.
@@ -96,11 +96,11 @@
   h.message.tenant = std::string(tenant);
   h.message.destination = *dest;
   h.message.deadline = wall_now() + *left;
-  h.message.key = std::string(key);
+  h.message.idempotency_key = std::string(key);
   // What a message of a class in order is about stands behind the class in its path.
   if (settings.classes[static_cast<std::size_t>(cls->second)].ordered)
     h.message.order_key = std::string(rest);
-  h.message.repeat = request["X-Retry"] == "1";
+  h.message.resubmitted = request["X-Retry"] == "1";
   h.message.body = std::move(request.body());
   return h;
 }
--- a/relay/request.hpp
+++ b/relay/request_parser.hpp
@@ -14,11 +14,12 @@
 
 // The message that a request hands in, with its body moved into it; else the status that turns it down and
 // why.
-struct Handed {
+struct ParsedRequest {
   Message message;
-  unsigned refused = 0;
-  const char* why = "";
+  unsigned rejection_status = 0;
+  const char* rejection_reason = "";
 };
-Handed read_message(Request& request, const dispatch::Settings& settings, const configuration::Tables& names);
+ParsedRequest parse_request(Request& request, const dispatch::Settings& settings,
+                            const configuration::SettingNames& names);
 
 }  // namespace message_relay
--- a/relay/answer.cpp
+++ b/relay/response_reader.cpp
@@ -1,10 +1,10 @@
-#include "answer.hpp"
+#include "response_reader.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cmath>
 
-#include "framing.hpp"
+#include "http_framing.hpp"
 
 namespace message_relay {
 
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-std::optional<bool> first_line_ok(const std::string& text) {
+std::optional<bool> status_line_is_ok(const std::string& text) {
   const std::string start = "HTTP/1.";
   const auto compared = std::min(text.size(), start.size());
   if (text.compare(0, compared, start, 0, compared) != 0) return false;
@@ -33,10 +33,10 @@
   return text.compare(8, 4, " 200") == 0 && (text[12] == ' ' || text[12] == '\r');
 }
 
-void AnswerReader::start() {
+void ResponseReader::start() {
   parser_.emplace();
-  parser_->header_limit(kMostHeader);
-  parser_->body_limit(kMostBody);
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(kMaxBodyBytes);
   // Head and body by turns: read in one go, Beast 1.74 forgets that the length is over the limit and reserves
   // it.
   parser_->eager(false);
@@ -44,20 +44,20 @@
   begun_ = framed_ = false;
 }
 
-AnswerReader::State AnswerReader::put(const char* bytes, std::size_t size) {
+ResponseReader::State ResponseReader::append(const char* bytes, std::size_t size) {
   pending_.append(bytes, size);
   while (!pending_.empty()) {
     begun_ = true;
     // Nothing is taken before the first line is whole, so it stands at the front until it is known.
-    if (!ok_) ok_ = first_line_ok(pending_);
+    if (!ok_) ok_ = status_line_is_ok(pending_);
     beast::error_code bad;
     const std::size_t taken = parser_->put(boost::asio::buffer(pending_), bad);
     pending_.erase(0, taken);
     if (parser_->is_header_done() && !framed_) {
       framed_ = true;
-      if (!framing_certain(parser_->get(), parser_->get().version())) return State::broken;
+      if (!has_unambiguous_framing(parser_->get(), parser_->get().version())) return State::broken;
     }
-    if (bad == http::error::need_more) return pending_.size() > kMostHeader ? State::broken : State::more;
+    if (bad == http::error::need_more) return pending_.size() > kMaxHeaderBytes ? State::broken : State::more;
     if (bad) return State::broken;
     if (!parser_->is_done()) {
       if (taken == 0) return State::more;
@@ -75,22 +75,22 @@
   return State::more;
 }
 
-AnswerReader::State AnswerReader::end() {
+ResponseReader::State ResponseReader::finish() {
   beast::error_code bad;
   if (!parser_->is_header_done()) return State::broken;
   parser_->put_eof(bad);
   return !bad && parser_->is_done() ? State::whole : State::broken;
 }
 
-Time AnswerReader::told_wait() const {
+Time ResponseReader::retry_after() const {
   const auto ms = finite_number(parser_->get()["X-Come-Back-Ms"]);
   if (!ms || *ms <= 0) return 0;
   return static_cast<Time>(std::min(*ms * 1000, static_cast<double>(kLongestWait)));
 }
 
 // "x0=0.4,x1=25"
-dispatch::Report AnswerReader::report() const {
-  dispatch::Report report;
+dispatch::LoadReport ResponseReader::load_report() const {
+  dispatch::LoadReport report;
   const auto text = parser_->get()["X-Load"];
   for (std::size_t at = 0; at < text.size();) {
     const auto end = std::min(text.find(',', at), text.size());
@@ -98,8 +98,8 @@
     const auto equals = field.find('=');
     const auto v =
         equals == beast::string_view::npos ? std::nullopt : finite_number(field.substr(equals + 1));
-    if (v && *v >= 0 && field.substr(0, equals) == "x0") report.limit_left = *v;
-    if (v && *v >= 0 && field.substr(0, equals) == "x1") report.limit_rate = *v;
+    if (v && *v >= 0 && field.substr(0, equals) == "x0") report.remaining_fraction = *v;
+    if (v && *v >= 0 && field.substr(0, equals) == "x1") report.rate_limit = *v;
     at = end + 1;
   }
   return report;
--- a/relay/answer.hpp
+++ b/relay/response_reader.hpp
@@ -14,23 +14,23 @@
 
 // Whether an answer that begins so says 200, as its first line alone tells; nothing while too little has
 // come.
-std::optional<bool> first_line_ok(const std::string& text);
+std::optional<bool> status_line_is_ok(const std::string& text);
 
-class AnswerReader {
+class ResponseReader {
  public:
   enum class State {
     more,   // it goes on
     whole,  // it has come
     broken  // it can't be read, or is larger than any answer may be
   };
-  AnswerReader() { start(); }
+  ResponseReader() { start(); }
 
-  State put(const char* bytes, std::size_t size);
-  State end();  // the connection has ended
+  State append(const char* bytes, std::size_t size);
+  State finish();  // the connection has ended
 
   // Part of the answer has come. Answers ahead of it (1xx) don't count.
-  bool begun() const { return begun_; }
-  bool says_ok() const { return ok_.value_or(false); }
+  bool has_started() const { return begun_; }
+  bool status_line_ok() const { return ok_.value_or(false); }
   // The next answer on the connection is the next call's: this one is whole and nothing came behind it.
   bool reusable() const { return whole_ && !left_over_ && parser_->keep_alive(); }
 
@@ -38,8 +38,8 @@
   unsigned status() const { return parser_->get().result_int(); }
   bool line_busy() const { return parser_->get()["X-Line-Busy"] == "1"; }
   const std::string& body() const { return parser_->get().body(); }
-  Time told_wait() const;  // 0: none
-  dispatch::Report report() const;
+  Time retry_after() const;  // 0: none
+  dispatch::LoadReport load_report() const;
 
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
--- a/scale/catalogue.cpp
+++ b/scale/endpoint_catalogue.cpp
@@ -1,4 +1,4 @@
-#include "catalogue.hpp"
+#include "endpoint_catalogue.hpp"
 
 #include <cstdio>
 
--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -14,7 +14,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "meters.hpp"
+#include "resource_meters.hpp"
 
 namespace scale_tool {
 
@@ -134,7 +134,7 @@
  private:
   void build();
   Settings settings_of(int rank) const;
-  Endpoint listing(const Server& s, Listing listing = Listing::active) const;
+  Endpoint listing(const Server& s, EndpointStatus listing = EndpointStatus::active) const;
   void at(Time when, What what, std::int64_t a = 0, std::int64_t b = 0) {
     items_.push({when, order_++, what, a, b});
   }
@@ -143,7 +143,7 @@
   void round(int relay);
   void act(int relay, const Action& action);
   void send(int relay, const action::Send& a);
-  void end_call(std::uint64_t number, Outcome outcome, Time told_wait, const Report& report);
+  void end_call(std::uint64_t number, Outcome outcome, Time told_wait, const LoadReport& report);
   void reaches(std::uint64_t number);
   void over(Relay& r, std::map<MessageId, Held>::iterator it, bool served, bool handed_back);
   void arrive();
@@ -159,7 +159,7 @@
   }
   double left(Destination& d);
   std::optional<Time> take(Destination& d);
-  Report report(Destination& d);
+  LoadReport report(Destination& d);
   void push(Destination& d, bool told);
   void gauge(Destination& d);
   Time delay(const Relay& r, const Server& s) const {
@@ -187,7 +187,7 @@
   struct Ending {
     Outcome outcome;
     Time told_wait;
-    Report report;
+    LoadReport report;
   };
   std::unordered_map<std::uint64_t, Ending> endings_;  // on their way back
   std::unordered_map<std::int64_t, std::vector<Endpoint>> news_;
@@ -245,35 +245,35 @@
 
 Settings Fleet::settings_of(int rank) const {
   Settings s;
-  const auto plain = [](double aim, double deadline, Effect effect, double worth) {
-    return ClassSettings{.worth = worth,
-                         .late_worth = 0.2,
-                         .aim = micros(aim),
+  const auto plain = [](double aim, double deadline, Idempotency effect, double worth) {
+    return ClassSettings{.priority_weight = worth,
+                         .late_weight_fraction = 0.2,
+                         .latency_objective = micros(aim),
                          .deadline = micros(deadline),
-                         .effect = effect};
+                         .idempotency = effect};
   };
-  s.classes = {plain(set_.aim, set_.deadline, Effect::safe, 1),
-               plain(set_.unsafe_aim, set_.unsafe_deadline, Effect::unsafe, 3)};
+  s.classes = {plain(set_.aim, set_.deadline, Idempotency::idempotent, 1),
+               plain(set_.unsafe_aim, set_.unsafe_deadline, Idempotency::none, 3)};
   s.kinds = {{}};
   s.weights = WeightKind::rough;
-  s.relays = set_.relays, s.rank = rank, s.zone = rank % set_.zones;
-  s.slots = set_.slots, s.open_max = set_.open_max, s.attempts_max = set_.attempts_max;
-  s.cancelling = true;
-  s.tick = kTick, s.connect_timeout = kConnectTimeout;
-  s.retry_after_max = 3'000'000, s.drain_grace = 2'000'000, s.answer_slack = 100'000;
-  s.fall_multiple = set_.fall_multiple, s.overload_for = micros(set_.overload_for);
-  s.cold_from = set_.cold_from, s.cold = micros(set_.cold);
+  s.relay_count = set_.relays, s.relay_index = rank, s.zone = rank % set_.zones;
+  s.max_calls_in_flight = set_.slots, s.max_open_messages = set_.open_max, s.max_attempts = set_.attempts_max;
+  s.cancellation = true;
+  s.min_round_interval = kTick, s.connect_timeout = kConnectTimeout;
+  s.max_retry_after = 3'000'000, s.drain_grace = 2'000'000, s.answer_slack = 100'000;
+  s.overload_multiple = set_.fall_multiple, s.overload_duration = micros(set_.overload_for);
+  s.slow_start_capacity = set_.cold_from, s.slow_start_duration = micros(set_.cold);
   return s;
 }
 
-Endpoint Fleet::listing(const Server& s, Listing listing) const {
+Endpoint Fleet::listing(const Server& s, EndpointStatus listing) const {
   const Destination& d = destinations_[static_cast<std::size_t>(s.destination)];
   // Each relay is told the same; how far the weight is off hangs on the destination.
   const double off = set_.weight_off * (2 * std::fmod(d.phase * 7, 1) - 1);
   return {.id = s.id,
           .destination = s.destination,
           .zone = s.zone,
-          .listing = listing,
+          .status = listing,
           .weight = d.rate * (1 + off)};
 }
 
@@ -308,16 +308,16 @@
   return micros((k + 1 - d.phase) * d.window) - now_ + 1;
 }
 
-Report Fleet::report(Destination& d) {
+LoadReport Fleet::report(Destination& d) {
   const Time period = micros(set_.report_period), late = micros(set_.report_delay);
   if (now_ >= d.next_at) d.left_told = d.left_next, d.next_at = kNever;
   if (now_ - d.reported_at >= period) {
     d.reported_at = now_, d.next_at = now_ + late;
     d.left_next = std::clamp(left(d) * (1 + set_.report_noise * (2 * chance_.uniform() - 1)), 0.0, 1.0);
   }
-  Report r;
-  r.limit_left = d.left_told;
-  r.limit_rate = d.rate * (1 + set_.report_noise * (2 * chance_.uniform() - 1));
+  LoadReport r;
+  r.remaining_fraction = d.left_told;
+  r.rate_limit = d.rate * (1 + set_.report_noise * (2 * chance_.uniform() - 1));
   return r;
 }
 
@@ -377,8 +377,8 @@
   server_of_[servers_.back().id] = fresh;
   *place = fresh;
   news_[next_news_] = {listing(servers_.back()),
-                       listing(servers_[static_cast<std::size_t>(old)], Listing::draining)};
-  news_[next_news_ + 1] = {listing(servers_[static_cast<std::size_t>(old)], Listing::gone)};
+                       listing(servers_[static_cast<std::size_t>(old)], EndpointStatus::draining)};
+  news_[next_news_ + 1] = {listing(servers_[static_cast<std::size_t>(old)], EndpointStatus::removed)};
   for (int i = 0; i < set_.relays; i++) {
     const Time first = now_ + micros(set_.list_delay * chance_.uniform());
     at(first, What::listed, i, next_news_);
@@ -413,7 +413,7 @@
   };
   if (const auto* s = std::get_if<action::Send>(&action)) {
     send(relay, *s);
-  } else if (const auto* refuse = std::get_if<action::Refuse>(&action)) {
+  } else if (const auto* refuse = std::get_if<action::Reject>(&action)) {
     ended(refuse->id, true);
   } else if (const auto* fail = std::get_if<action::Fail>(&action)) {
     ended(fail->id, false);
@@ -451,7 +451,7 @@
   const Time back = delay(relays_[static_cast<std::size_t>(call.relay)], server);
   d.lately.push_back(now_);
   gauge(d);
-  const auto ends = [&](Time when, Outcome outcome, Time told_wait = 0, Report report = {}) {
+  const auto ends = [&](Time when, Outcome outcome, Time told_wait = 0, LoadReport report = {}) {
     endings_[number] = {outcome, told_wait, report};
     at(when, What::outcome, static_cast<std::int64_t>(number));
   };
@@ -466,38 +466,38 @@
   if (wait || full) {
     result_.calls_refused += counting();
     const bool told = wait && chance_.one_in(d.tells_wait);
-    return ends(now_ + back, Outcome::full, told ? (*wait + 999) / 1000 * 1000 : 0, report(d));
+    return ends(now_ + back, Outcome::rejected, told ? (*wait + 999) / 1000 * 1000 : 0, report(d));
   }
   const double queued = d.backlog / able;
   d.backlog += 1;
-  ends(now_ + back + micros(queued + chance_.log_normal(set_.service, set_.service_cv)), Outcome::served, 0,
-       report(d));
+  ends(now_ + back + micros(queued + chance_.log_normal(set_.service, set_.service_cv)), Outcome::succeeded,
+       0, report(d));
 }
 
-void Fleet::end_call(std::uint64_t number, Outcome outcome, Time told_wait, const Report& report) {
+void Fleet::end_call(std::uint64_t number, Outcome outcome, Time told_wait, const LoadReport& report) {
   const auto it = calls_.find(number);
   if (it == calls_.end()) return;
   const Call call = it->second;
   calls_.erase(it);
   Relay& r = relays_[static_cast<std::size_t>(call.relay)];
-  result_.calls_served += outcome == Outcome::served && counting();
-  result_.calls_failed += outcome != Outcome::served && outcome != Outcome::full && counting();
+  result_.calls_served += outcome == Outcome::succeeded && counting();
+  result_.calls_failed += outcome != Outcome::succeeded && outcome != Outcome::rejected && counting();
   if (call.life != r.life || !r.up) return;
   note(static_cast<std::uint64_t>(now_) * 31 + static_cast<std::uint64_t>(outcome));
   const Server& server = servers_[static_cast<std::size_t>(call.server)];
   event::AttemptEnded e;
   e.id = call.message, e.attempt = call.attempt, e.endpoint = server.id, e.outcome = outcome;
-  e.latency = now_ - call.sent, e.closed = outcome == Outcome::served, e.told_wait = told_wait,
-  e.report = report;
+  e.latency = now_ - call.sent, e.message_settled = outcome == Outcome::succeeded, e.retry_after = told_wait,
+  e.load_report = report;
   Destination& d = destinations_[static_cast<std::size_t>(server.destination)];
   // As the rule has it: told of a call that failed or was refused there during the outage.
   const Time reached = call.sent + delay(r, server);
   const bool in_outage = d.fallen || (reached >= d.down_from && reached < d.back_at);
-  if (outcome != Outcome::served && in_outage) d.told.insert(call.relay);
+  if (outcome != Outcome::succeeded && in_outage) d.told.insert(call.relay);
   const auto held = r.held.find(call.message);
   if (held != r.held.end()) {
     held->second.attempts.at(static_cast<std::size_t>(call.attempt)).second = outcome;
-    if (outcome == Outcome::served) over(r, held, true, false);
+    if (outcome == Outcome::succeeded) over(r, held, true, false);
   }
   hear(call.relay, e);
 }
@@ -542,7 +542,7 @@
   h.sound = !out(d) && !cold(d);
   const MessageId id = next_message_++;
   event::Arrival a;
-  a.id = id, a.destination = h.destination, a.message_class = h.message_class, a.time_left = span;
+  a.id = id, a.destination = h.destination, a.message_class = h.message_class, a.time_to_deadline = span;
   relays_[static_cast<std::size_t>(relay)].held.emplace(id, std::move(h));
   hear(relay, a);
 }
@@ -567,19 +567,20 @@
     for (Time t = now_; t < micros(set_.length); t += kGaugeStep) at(t, What::gauge);
     for (auto& d : destinations_) d.longest_over = 0, d.over_since = kNever;
   }
-  event::ListWhole list;
+  event::EndpointListSnapshot list;
   for (const auto& d : destinations_)
     for (const int s : d.endpoints) list.endpoints.push_back(listing(servers_[static_cast<std::size_t>(s)]));
   hear(relay, std::move(list));
   for (auto& [id, h] : r.held) {
-    event::Recovered e;
+    event::MessageRecovered e;
     e.message.id = id, e.message.destination = h.destination, e.message.message_class = h.message_class;
-    e.message.time_left = h.deadline - now_;
-    e.attempts = static_cast<int>(h.attempts.size());
+    e.message.time_to_deadline = h.deadline - now_;
+    e.attempts_made = static_cast<int>(h.attempts.size());
     for (const auto& [sent, outcome] : h.attempts) {
-      const bool never_ran = outcome && (*outcome == Outcome::full || *outcome == Outcome::connect_failed);
-      if (never_ran || e.may_have_run_zone) continue;
-      e.may_have_run_zone = h.zone, e.may_have_run_sent = sent;
+      const bool never_ran =
+          outcome && (*outcome == Outcome::rejected || *outcome == Outcome::connect_failed);
+      if (never_ran || e.possible_execution_zone) continue;
+      e.possible_execution_zone = h.zone, e.possible_execution_sent_at = sent;
     }
     hear(relay, std::move(e));
   }
@@ -595,7 +596,7 @@
     case What::round:
       return lives() ? round(static_cast<int>(relay)) : void();
     case What::timer:
-      return lives() ? hear(static_cast<int>(relay), event::TimerDue{0}) : void();
+      return lives() ? hear(static_cast<int>(relay), event::TimerExpired{0}) : void();
     case What::reaches:
       return reaches(number);
     case What::timeout:
@@ -613,7 +614,7 @@
       if (now_ < micros(set_.length)) at(now_ + micros(chance_.exponential(1 / set_.churn)), What::replace);
       return replace();
     case What::listed:
-      return hear(static_cast<int>(relay), event::ListChanges{news_.at(item.b)});
+      return hear(static_cast<int>(relay), event::EndpointListUpdate{news_.at(item.b)});
     case What::kill:
       return kill();
     case What::start:
--- a/scale/journal_slopes.cpp
+++ b/scale/journal_slopes.cpp
@@ -5,7 +5,7 @@
 #include <stdexcept>
 
 #include "journal.hpp"
-#include "meters.hpp"
+#include "resource_meters.hpp"
 #include "slopes.hpp"
 #include "stored.hpp"
 
@@ -47,7 +47,8 @@
       std::vector<Message> batch;
       for (MessageId id = first; id < end_of(first); id++) batch.push_back(message(id, body_bytes_));
       taken += time_of([&] {
-        for (auto& m : batch) journal.take(first + static_cast<MessageId>(&m - batch.data()), std::move(m));
+        for (auto& m : batch)
+          journal.record_message(first + static_cast<MessageId>(&m - batch.data()), std::move(m));
       });
       committed += time_of([&] { journal.commit(); });
     }
@@ -56,9 +57,10 @@
     const double alone = file_bytes(folder_.path());
     costs.emplace_back("on disk, bytes", alone);
     costs.emplace_back("memory, bytes", static_cast<double>(allocated().bytes - before));
-    costs.emplace_back("sent, us", each(journal, [&](MessageId id) { journal.sent(id, 1, 0); }));
-    costs.emplace_back("outcome, us",
-                       each(journal, [&](MessageId id) { journal.outcome(id, 0, Outcome::full); }));
+    costs.emplace_back("sent, us", each(journal, [&](MessageId id) { journal.record_attempt(id, 1, 0); }));
+    costs.emplace_back("outcome, us", each(journal, [&](MessageId id) {
+                         journal.record_outcome(id, 0, Outcome::rejected);
+                       }));
     costs.emplace_back("an attempt on disk, bytes", file_bytes(folder_.path()) - alone);
     double all = 0, longest = 0, last = 0;
     for (bool more = true; more;) {
@@ -76,8 +78,8 @@
     std::optional<Journal> journal;
     costs.emplace_back("recovered, us", time_of([&] { journal.emplace(folder_.path(), kNoLimit); }));
     costs.emplace_back("recovered, most memory, bytes", static_cast<double>(peak_bytes() - before));
-    if (journal->held().size() != messages_) throw std::runtime_error("journal: not all was recovered");
-    costs.emplace_back("over, us", each(*journal, [&](MessageId id) { journal->over(id); }));
+    if (journal->messages().size() != messages_) throw std::runtime_error("journal: not all was recovered");
+    costs.emplace_back("over, us", each(*journal, [&](MessageId id) { journal->record_completed(id); }));
   }
   MessageId end_of(MessageId first) const { return std::min(first + kCommit, messages_ + 1); }
   // Without the commits, which cost the same whatever the records are.
@@ -106,9 +108,9 @@
   MessageId id = 0;
   for (std::int64_t i = 0; i < kCommits; i++) {
     const MessageId first = id + 1;
-    for (std::int64_t k = 0; k < records; k++) id++, journal.take(id, message(id, body_bytes));
+    for (std::int64_t k = 0; k < records; k++) id++, journal.record_message(id, message(id, body_bytes));
     time += time_of([&] { journal.commit(); });
-    for (MessageId over = first; over <= id; over++) journal.over(over);
+    for (MessageId over = first; over <= id; over++) journal.record_completed(over);
     journal.commit();
   }
   return time / static_cast<double>(kCommits);
--- a/scale/list_slopes.cpp
+++ b/scale/list_slopes.cpp
@@ -6,11 +6,11 @@
 #include <optional>
 #include <stdexcept>
 
-#include "catalogue.hpp"
-#include "members.hpp"
-#include "meters.hpp"
+#include "endpoint_catalogue.hpp"
+#include "endpoint_list.hpp"
+#include "json_stream_splitter.hpp"
+#include "resource_meters.hpp"
 #include "slopes.hpp"
-#include "values.hpp"
 
 namespace scale_tool {
 namespace {
@@ -18,10 +18,10 @@
 constexpr std::size_t kPiece = 64 * 1024;  // bytes that one read of the socket brings at most
 
 std::string streamed(const std::string& list) {
-  message_relay::ValueStream stream;
+  message_relay::JsonStreamSplitter stream;
   std::optional<std::string> value;
   for (std::size_t at = 0; at < list.size(); at += kPiece) {
-    stream.put(list.substr(at, kPiece));
+    stream.append(list.substr(at, kPiece));
     value = stream.next();
   }
   if (!value) throw std::runtime_error("list: no whole value was found");
@@ -33,14 +33,14 @@
   std::int64_t parsed_bytes = 0, bytes = 0;  // the parser's memory while it reads; what is kept of it
 };
 
-Reading read(const std::string& list, const configuration::Tables& names) {
+Reading read(const std::string& list, const configuration::SettingNames& names) {
   Reading reading;
   rapidjson::Document v;
   reading.parse = time_of([&] { v.Parse<rapidjson::kParseIterativeFlag>(list.data(), list.size()); });
   reading.parsed_bytes = static_cast<std::int64_t>(v.GetAllocator().Capacity());
   const std::int64_t before = allocated().bytes;
-  message_relay::MemberList members;
-  reading.read = time_of([&] { members = message_relay::read_members(v, "members", names); });
+  message_relay::EndpointList members;
+  reading.read = time_of([&] { members = message_relay::read_endpoint_list(v, "members", names); });
   reading.bytes = allocated().bytes - before;
   return reading;
 }
@@ -49,7 +49,7 @@
 
 void list_slopes(Slopes& out) {
   const auto& set = out.set;
-  configuration::Tables names;
+  configuration::SettingNames names;
   names.zones.emplace("a", 0), names.kinds.emplace("small", 0);
   for (const auto n : set.endpoints) {
     const std::string list = catalogue(n, set.endpoints_per_destination);
--- a/scale/module_slopes.cpp
+++ b/scale/module_slopes.cpp
@@ -2,9 +2,9 @@
 #include <algorithm>
 #include <map>
 
-#include "catalogue.hpp"
 #include "dispatch/dispatcher.hpp"
-#include "meters.hpp"
+#include "endpoint_catalogue.hpp"
+#include "resource_meters.hpp"
 #include "slopes.hpp"
 
 namespace scale_tool {
@@ -19,12 +19,15 @@
 // Deadlines are far off: what is held stays held.
 Settings settings(int slots) {
   Settings s;
-  s.classes = {{.worth = 1, .late_worth = 0.3, .aim = 2 * kS, .deadline = 3600 * kS}};
+  s.classes = {{.priority_weight = 1,
+                .late_weight_fraction = 0.3,
+                .latency_objective = 2 * kS,
+                .deadline = 3600 * kS}};
   s.kinds = {{}};
-  s.slots = slots;
-  s.open_max = 1'000'000'000;
-  s.attempts_max = 1000;
-  s.tick = kMs;
+  s.max_calls_in_flight = slots;
+  s.max_open_messages = 1'000'000'000;
+  s.max_attempts = 1000;
+  s.min_round_interval = kMs;
   return s;
 }
 
@@ -51,8 +54,10 @@
       if (const auto* send = std::get_if<action::Send>(&a)) sends_.push_back(*send);
     return time;
   }
-  double idle_round() { return round({event::TimerDue{0}}, kTick); }
-  double list(std::vector<Endpoint> all) { return round({event::ListWhole{std::move(all), false}}); }
+  double idle_round() { return round({event::TimerExpired{0}}, kTick); }
+  double list(std::vector<Endpoint> all) {
+    return round({event::EndpointListSnapshot{std::move(all), false}});
+  }
 
   // What ends the calls that the last round began.
   std::vector<Event> ends(Outcome outcome, Time told_wait = 0) {
@@ -60,14 +65,15 @@
     for (const auto& send : sends_) {
       event::AttemptEnded e;
       e.id = send.id, e.attempt = attempts_[send.id]++, e.endpoint = send.endpoint;
-      e.outcome = outcome, e.latency = kMs, e.closed = outcome == Outcome::served, e.told_wait = told_wait;
+      e.outcome = outcome, e.latency = kMs, e.message_settled = outcome == Outcome::succeeded,
+      e.retry_after = told_wait;
       events.emplace_back(std::move(e));
     }
     return events;
   }
   event::Arrival arrival(DestinationId destination) {
     event::Arrival a;
-    a.id = ++last_, a.destination = destination, a.time_left = settings_.classes[0].deadline;
+    a.id = ++last_, a.destination = destination, a.time_to_deadline = settings_.classes[0].deadline;
     return a;
   }
   // One message to each destination in [from, from + count), at most kSlots at once: their calls end so.
@@ -78,7 +84,7 @@
       for (std::int64_t k = i; k < std::min(count, i + kSlots); k++) events.emplace_back(arrival(from + k));
       round(events);
       events = ends(outcome, told_wait);
-      for (MessageId id = first; id <= last_; id++) events.emplace_back(event::Withdrawn{id});
+      for (MessageId id = first; id <= last_; id++) events.emplace_back(event::ClientCancelled{id});
       round(events);
     }
     attempts_.clear();
@@ -86,12 +92,12 @@
   // Lists so many endpoints of a destination each, and fails calls until all of them are closed.
   void down(std::int64_t count) {
     list(endpoints(count, 1));
-    while (dispatcher_.avoided() < static_cast<std::size_t>(count))
+    while (dispatcher_.ejected_endpoint_count() < static_cast<std::size_t>(count))
       call_each(0, count, Outcome::connect_failed);
   }
   void told_to_wait(std::int64_t count) {
     list(endpoints(count, 1));
-    call_each(0, count, Outcome::full, 1800 * kS);
+    call_each(0, count, Outcome::rejected, 1800 * kS);
   }
   // Taken on in one round; returns the bytes that are kept for them.
   std::int64_t hold(std::int64_t messages, std::int64_t destinations) {
@@ -121,7 +127,7 @@
 double round_while_down(Load& load, std::int64_t repetitions) {
   return median_of(repetitions, [&] {
     auto events = load.ends(Outcome::connect_failed);
-    events.emplace_back(event::TimerDue{0});
+    events.emplace_back(event::TimerExpired{0});
     return load.round(events, kTick);
   });
 }
@@ -172,7 +178,7 @@
             median_of(set.repetitions, [&] { return load.list(list); }));
     std::size_t changed = 0;
     out.add("one change, us", kEndpoints, n, median_of(rounds, [&] {
-              return load.round({event::ListChanges{{list[changed++ * 7919 % list.size()]}}});
+              return load.round({event::EndpointListUpdate{{list[changed++ * 7919 % list.size()]}}});
             }));
     out.add("idle round, us", kEndpoints, n, median_of(rounds, [&] { return load.idle_round(); }));
     constexpr std::int64_t kDelivered = 2000;
@@ -180,19 +186,19 @@
               double time = 0;
               for (std::int64_t i = 0; i < kDelivered; i++) {
                 time += load.round({load.arrival(list[static_cast<std::size_t>(i * 7919 % n)].destination)});
-                time += load.round(load.ends(Outcome::served));
+                time += load.round(load.ends(Outcome::succeeded));
               }
               return time / kDelivered;
             }));
     out.add("learnt, written, us", kEndpoints, n,
-            median_of(set.repetitions, [&] { return time_of([&] { load.dispatcher().learnt(); }); }));
+            median_of(set.repetitions, [&] { return time_of([&] { load.dispatcher().learned_state(); }); }));
   }
   out.reach("memory, bytes", kEndpoints, set.asked_memory_bytes);
   out.reach("memory, bytes", kMessages, set.asked_memory_bytes);
   for (const auto n : set.recalled) {
     Load load;
     load.list(endpoints(n, 1));
-    const event::Recalled recalled{load.dispatcher().learnt()};
+    const event::LearnedStateRestored recalled{load.dispatcher().learned_state()};
     out.add("learnt, taken back, us", kRecalled, n,
             median_of(set.repetitions, [&] { return load.round({recalled}); }));
   }
--- a/scale/relay_slopes.cpp
+++ b/scale/relay_slopes.cpp
@@ -7,9 +7,9 @@
 #include <stdexcept>
 #include <utility>
 
-#include "catalogue.hpp"
-#include "meters.hpp"
+#include "endpoint_catalogue.hpp"
 #include "relay_process.hpp"
+#include "resource_meters.hpp"
 #include "slopes.hpp"
 #include "stand_ins.hpp"
 #include "stored.hpp"
@@ -43,8 +43,9 @@
     std::filesystem::create_directories(state);
     message_relay::Journal journal(state, kNoLimit);
     for (std::int64_t id = 1; id <= messages; id++) {
-      journal.take(static_cast<message_relay::MessageId>(id),
-                   stored(static_cast<message_relay::MessageId>(id), kDrainingDestination, set_.body_bytes));
+      journal.record_message(
+          static_cast<message_relay::MessageId>(id),
+          stored(static_cast<message_relay::MessageId>(id), kDrainingDestination, set_.body_bytes));
       if (id % 64 == 0 || id == messages) journal.commit();
     }
   }
--- a/scale/meters.cpp
+++ b/scale/resource_meters.cpp
@@ -1,4 +1,4 @@
-#include "meters.hpp"
+#include "resource_meters.hpp"
 
 #include <malloc.h>
 #include <stdlib.h>
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <sstream>
 
-#include "meters.hpp"
+#include "resource_meters.hpp"
 
 namespace scale_tool {
 namespace {
