--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -309,9 +309,10 @@
   std::set<EndpointId> ended_at;                      // endpoints at which a call ended in this round
 
   State(const Settings& s, std::uint64_t seed) : set(s), random(seed) {
-    shortest_aim = seconds(set.classes[0].aim), shortest_deadline = seconds(set.classes[0].deadline);
+    shortest_aim = seconds(set.classes[0].latency_objective),
+    shortest_deadline = seconds(set.classes[0].deadline);
     for (const auto& c : set.classes) {
-      shortest_aim = std::min(shortest_aim, seconds(c.aim));
+      shortest_aim = std::min(shortest_aim, seconds(c.latency_objective));
       shortest_deadline = std::min(shortest_deadline, seconds(c.deadline));
     }
     unit = kUnitOfAim * shortest_aim;
@@ -321,11 +322,11 @@
   }
 
   double uniform() { return static_cast<double>(random() >> 11) * 0x1.0p-53; }
-  double ramp_share() const { return set.relays > kFewRelays ? kRampShareMany : kRampShare; }
+  double ramp_share() const { return set.relay_count > kFewRelays ? kRampShareMany : kRampShare; }
   double jittered(double d) { return d * (1 + kJitter * (2 * uniform() - 1)); }
-  double burst_of(const TenantSettings& t) const { return 2 + 2 * t.quota_per_s / set.relays; }
+  double burst_of(const TenantSettings& t) const { return 2 + 2 * t.quota_per_second / set.relay_count; }
   void log(const std::string& text) { out->push_back(action::Log{text}); }
-  void wake_by(Time t) { wake = std::min(wake, std::max(t, now + set.tick)); }
+  void wake_by(Time t) { wake = std::min(wake, std::max(t, now + set.min_round_interval)); }
 
   Target& target_of(EndpointState& e) { return e.apart ? e.own : destinations[e.info.destination].target; }
 
@@ -355,7 +356,7 @@
   double least_pace(const Target& t) const {
     const double least =
         std::pow(after_refusal[t.kind], t.refusals) / std::max(delay_now(t), kInitial * unit);
-    return set.relays > kFewRelays ? least : std::max(least, 1 / (kMost * unit));
+    return set.relay_count > kFewRelays ? least : std::max(least, 1 / (kMost * unit));
   }
   void learn_refusal(const Target& t, double served) {
     double& share = after_refusal[t.kind];
@@ -363,7 +364,9 @@
   }
   // This relay's part of a limit that was told: all relays at it together just use the limit. 0: none told,
   // or few relays, whose own rates tell more.
-  double part_of(const Target& t) const { return set.relays > kFewRelays ? t.limit / set.relays : 0; }
+  double part_of(const Target& t) const {
+    return set.relay_count > kFewRelays ? t.limit / set.relay_count : 0;
+  }
   bool is_thin(const Target& t) const {
     const double part = part_of(t);
     return part > 0 && part * shortest_deadline < kThinCalls;
@@ -408,9 +411,9 @@
     if (cut >= 1 || now - t.let_at < micros(kCutGap) || share_of(t) > 0) return;
     t.let_through = std::max(kLeastThrough, let_through(t) * cut);
     t.let_at = now;
-    const bool tell = own && set.peers && now >= tell_at && now - t.told_at >= micros(shortest_aim);
-    if (tell) out->push_back(action::TellPeer{-1, kNoteRefused + e.info.id});
-    if (tell) tell_at = now + micros(jittered(kTellGap * set.relays));
+    const bool tell = own && set.gossip && now >= tell_at && now - t.told_at >= micros(shortest_aim);
+    if (tell) out->push_back(action::SendGossip{-1, kNoteRefused + e.info.id});
+    if (tell) tell_at = now + micros(jittered(kTellGap * set.relay_count));
     if (tell || !own) t.told_at = now;
   }
   // Whether this attempt is let through; else the target is held for a while.
@@ -418,22 +421,23 @@
     double share = let_through(t);
     // Refused twice and not served between: it may be shut, so no more than it stands when it returns cold.
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
-    if (t.refusals >= 2 && set.relays > kFewRelays && share_of(t) == 0)
-      share = std::min(share, set.fall_multiple * ramp_share() * set.cold_from);
+    if (t.refusals >= 2 && set.relay_count > kFewRelays && share_of(t) == 0)
+      share = std::min(share, set.overload_multiple * ramp_share() * set.slow_start_capacity);
     if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
   }
-  void on(const event::PeerNote& ev) {
-    if (ev.body.rfind(kNoteRefused, 0) != 0) return;
-    const auto it = endpoints.find(ev.body.substr(kNoteRefused.size()));
+  void on(const event::GossipReceived& ev) {
+    if (ev.payload.rfind(kNoteRefused, 0) != 0) return;
+    const auto it = endpoints.find(ev.payload.substr(kNoteRefused.size()));
     if (it != endpoints.end()) cut_through(target_of(it->second), it->second, false);
   }
   // Its own serves teach a relay that calls seldom too slowly that a limit has room again; what the answers
   // tell of all relays' calls does. Guards against a limit left half unused while messages for it die.
-  void pace_raise(Target& t, const Report& report) {
+  void pace_raise(Target& t, const LoadReport& report) {
     if (const double part = share_of(t); part > 0 && t.pace != kUnbounded) {
-      if (report.limit_left >= kPlenty) t.pace = std::max(t.pace + kShareRaise * part, kSafeShare * part);
+      if (report.remaining_fraction >= kPlenty)
+        t.pace = std::max(t.pace + kShareRaise * part, kSafeShare * part);
       if (t.pace > kMostShare * part) t.pace = kUnbounded;
       t.raise_at = now;
       return;
@@ -506,7 +510,7 @@
     const auto siblings =
         static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
     const double part = part_of(target_of(e)) / std::max(1.0, siblings);
-    return std::max({e.asked.at(now), part, part > 0 ? 0 : kLeastCalls / set.relays});
+    return std::max({e.asked.at(now), part, part > 0 ? 0 : kLeastCalls / set.relay_count});
   }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
@@ -514,12 +518,12 @@
   // Calls a second that an endpoint out or returning may get from this relay: its part, by its own first
   // tries, of what the endpoint stands for sure. No floor: with hundreds of relays that each see a call a
   // minute, floors of one call each would push it over. What is known of an outage ages out.
-  Time health_span() const { return std::max(set.cold, micros(shortest_aim)); }
+  Time health_span() const { return std::max(set.slow_start_duration, micros(shortest_aim)); }
   double ramp_rate(const EndpointState& e) const {
-    double warm = set.cold_from;
+    double warm = set.slow_start_capacity;
     if (e.health == Health::ramp)
-      warm += (1 - set.cold_from) * seconds(now - e.since) / seconds(health_span());
-    const double times = set.fall_multiple * ramp_share() * std::min(warm, 1.0);
+      warm += (1 - set.slow_start_capacity) * seconds(now - e.since) / seconds(health_span());
+    const double times = set.overload_multiple * ramp_share() * std::min(warm, 1.0);
     // Not served since: perhaps it returned only now, so no more than was asked of it before, backlog or not.
     return e.usual_rate * (on_trial(e) ? std::min(times, 1.0) : times);
   }
@@ -554,7 +558,7 @@
     slowness += kSlownessGain * (std::min(seconds(latency) / std::max(e.usual, 1e-3), kMostSlow) - slowness);
     e.usual += kUsualGain * (seconds(latency) - e.usual);
     e.fail_share *= 1 - kFailMemory;
-    delay_down(t), pace_raise(t, ev.report);
+    delay_down(t), pace_raise(t, ev.load_report);
     if (e.health == Health::closed) {
       // Closed on overdue calls alone and they came after all: slow, not out, so nothing is cold.
       e.health = e.fail_run == 0 && e.fail_share < kMostFail / 2 ? Health::open : Health::ramp;
@@ -640,7 +644,7 @@
     // Endpoints that share a limit mostly go out together: as many signs at any of them as close one close
     // all. Fewer where this relay calls seldom; in larger fleets for silence too, which is told late.
     const bool silent = ev.outcome == Outcome::timeout || ev.outcome == Outcome::cancelled;
-    const bool soon = is_thin(target_of(e)) || (silent && set.relays > kFewRelays);
+    const bool soon = is_thin(target_of(e)) || (silent && set.relay_count > kFewRelays);
     if (++target_of(e).failures < (soon ? few : std::max(kCloseRun, chance)) || e.apart) return;
     for (auto* other : destinations[e.info.destination].endpoints)
       // One that has answered since this call was sent is at work.
@@ -651,7 +655,7 @@
   void drop_idle(EndpointState& e) {
     if (e.idle_closed) return;
     e.idle_closed = true;
-    out->push_back(action::CloseIdle{e.info.id});
+    out->push_back(action::CloseIdleConnections{e.info.id});
   }
 
   // Guards against connection tables filled by idle connections of many relays: one that will hardly be used
@@ -661,8 +665,9 @@
     for (const auto& id : ended_at) {
       EndpointState& e = endpoints.at(id);
       const bool crowded = now < e.crowded_at + micros(kCrowded);
-      const double gaps = std::max(kIdleSpared / set.relays, crowded ? 0 : kLongGap);
-      if (e.use_gap > seconds(set.connection_idle) * gaps) out->push_back(action::CloseIdle{id});
+      const double gaps = std::max(kIdleSpared / set.relay_count, crowded ? 0 : kLongGap);
+      if (e.use_gap > seconds(set.connection_idle_timeout) * gaps)
+        out->push_back(action::CloseIdleConnections{id});
     }
     ended_at.clear();
   }
@@ -676,10 +681,11 @@
     const auto place = std::min(static_cast<std::size_t>(std::max(info.kind, 0)), set.kinds.size());
     const KindSettings kind = place < set.kinds.size() ? set.kinds[place] : KindSettings{};
     e.own.kind = destinations[info.destination].target.kind = place;
-    e.apart = kind.routes_apart, e.bundle_max = kind.bundle_max;
+    e.apart = kind.independent_routes, e.bundle_max = kind.max_batch_size;
     begin_paced(target_of(e), info.weight);
     if (fresh) e.suspended = suspended.count(info.id) > 0;
-    if (fresh) e.bundle = e.bundle_max, e.use_gap = seconds(set.connection_idle) / 2, e.asked.start(now);
+    if (fresh)
+      e.bundle = e.bundle_max, e.use_gap = seconds(set.connection_idle_timeout) / 2, e.asked.start(now);
     if (!fresh) return;
     auto& siblings = destinations[info.destination].endpoints;
     // A new endpoint of a destination that is out or returning is no way around its siblings' state.
@@ -692,28 +698,29 @@
     }
     siblings.push_back(&e);
   }
-  void on(const event::ListWhole& ev) {
-    for (auto& [id, e] : endpoints) e.info.listing = Listing::gone;
+  void on(const event::EndpointListSnapshot& ev) {
+    for (auto& [id, e] : endpoints) e.info.status = EndpointStatus::removed;
     list_changed = true;
     for (const auto& info : ev.endpoints) take(info);
     if (!ev.cached) return told();
-    if (!set.subscribe) return;
+    if (!set.subscribes_to_list) return;
     ask_at = now + micros(uniform() * ask_spread());
-    if (set.pushed) first_list_by = now + micros(std::min(2 * pushed_pause(), shortest_aim / 2));
+    if (set.list_is_pushed) first_list_by = now + micros(std::min(2 * pushed_pause(), shortest_aim / 2));
   }
-  void on(const event::ListChanges& ev) {
+  void on(const event::EndpointListUpdate& ev) {
     for (const auto& info : ev.endpoints) take(info);
     told();
   }
   void told() { subscribed = true, ask_gap = kAskAgain, ask_at = kNever, first_list_by = 0; }
   // What is suspended is restarted meanwhile: it comes back cold, as after an outage.
-  void on(const event::Suspended& ev) {
-    const bool changed = ev.on ? suspended.insert(ev.endpoint).second : suspended.erase(ev.endpoint) > 0;
+  void on(const event::EndpointSuspension& ev) {
+    const bool changed =
+        ev.suspended ? suspended.insert(ev.endpoint).second : suspended.erase(ev.endpoint) > 0;
     const auto it = endpoints.find(ev.endpoint);
     if (!changed || it == endpoints.end()) return;
     EndpointState& e = it->second;
-    e.suspended = ev.on;
-    if (ev.on) return drop_idle(e);
+    e.suspended = ev.suspended;
+    if (ev.suspended) return drop_idle(e);
     if (e.health == Health::open) e.usual_rate = usual_rate(e);
     e.health = Health::ramp, e.since = e.budget_at = now, e.budget = uniform();
     e.fail_run = 0, e.fail_share = 0;
@@ -722,23 +729,26 @@
   // Lost by all relays at once, it is asked for again by one after the other; the longer it turns callers
   // away, the rarer. What is known serves meanwhile. Where lists are pushed what it misses binds at once, and
   // after silence or a move soon, so there it is asked for at once, or within a part of that.
-  void on(const event::ListFailed& ev) {
+  void on(const event::EndpointListLost& ev) {
     const bool had = std::exchange(subscribed, false);
-    if (ev.why != event::Loss::moved) first_list_by = std::min(first_list_by, now);
-    if (set.pushed) {
-      const bool at_once = (had || ev.why == event::Loss::moved) && now - asked_at > micros(pushed_pause());
+    if (ev.reason != event::ListLossReason::relocated) first_list_by = std::min(first_list_by, now);
+    if (set.list_is_pushed) {
+      const bool at_once =
+          (had || ev.reason == event::ListLossReason::relocated) && now - asked_at > micros(pushed_pause());
       ask_at = at_once ? now : now + micros(jittered(pushed_pause()));
       return;
     }
     // Until it is asked for again, a change may have waited as long as the call or the watch that brought
     // none.
-    const Time gone = ev.why != event::Loss::failed ? set.watch_patience : had ? 0 : set.ask_patience;
+    const Time gone = ev.reason != event::ListLossReason::failed ? set.watch_timeout
+                      : had                                      ? 0
+                                                                 : set.poll_timeout;
     const double most = kToldAnyway - kAnswerTime - seconds(gone), spread = std::min(ask_spread(), most);
-    if (ev.why == event::Loss::failed) {
+    if (ev.reason == event::ListLossReason::failed) {
       const double least = had ? 0 : spread / 2;
       ask_at = now + micros(std::max(jittered(ask_gap), least + uniform() * (spread - least)));
       ask_gap =
-          std::min(2 * ask_gap, (kToldAnyway - kAnswerTime - seconds(set.ask_patience)) / (1 + kJitter));
+          std::min(2 * ask_gap, (kToldAnyway - kAnswerTime - seconds(set.poll_timeout)) / (1 + kJitter));
     } else {
       ask_at = now + micros(uniform() * spread);
     }
@@ -750,8 +760,8 @@
   // Guards against a discovery that the calls of many relays, started or cut off together, keep from
   // answering any; and against a list that is older than the time after which its changes count as told.
   double ask_spread() const {
-    if (set.relays <= kFewRelays || set.pushed) return 0;
-    return std::min(kAskApart * set.relays, kToldAnyway - kAnswerTime);
+    if (set.relay_count <= kFewRelays || set.list_is_pushed) return 0;
+    return std::min(kAskApart * set.relay_count, kToldAnyway - kAnswerTime);
   }
   void ask() {
     if (now < ask_at) return wake_by(ask_at);
@@ -763,8 +773,9 @@
   double value(const Message& m, Time t) const {
     if (t >= m.deadline) return 0;
     if (t <= m.aim) return m.worth;
-    const double late = m.cls->late_worth, past = seconds(t - m.aim);
-    if (set.decay == Decay::halves) return m.worth * std::max(late, std::exp2(-past / seconds(m.cls->aim)));
+    const double late = m.cls->late_weight_fraction, past = seconds(t - m.aim);
+    if (set.decay == ValueDecay::exponential)
+      return m.worth * std::max(late, std::exp2(-past / seconds(m.cls->latency_objective)));
     return m.worth * (1 - (1 - late) * past / std::max(1e-6, seconds(m.deadline - m.aim)));
   }
   // What waiting one more short aim would lose, and a part of what is there to win. Guards against a backlog
@@ -778,26 +789,26 @@
     Message& m = messages[ev.id];
     m.id = ev.id, m.destination = ev.destination, m.key = ev.order_key;
     m.cls = &set.classes[static_cast<std::size_t>(ev.message_class)];
-    m.deadline = now + ev.time_left, m.ready = now;
-    m.aim = m.deadline - m.cls->deadline + m.cls->aim;
-    m.worth = m.cls->worth * share_left(ev.tenant);
+    m.deadline = now + ev.time_to_deadline, m.ready = now;
+    m.aim = m.deadline - m.cls->deadline + m.cls->latency_objective;
+    m.worth = m.cls->priority_weight * share_left(ev.tenant);
     if (!m.cls->ordered) m.key.clear();
     if (!m.key.empty()) keys[m.key].line.push_back(m.id);
     thin_asked(m);
   }
   // Back from an earlier life. An attempt that may have run bars an unsafe message from all but failing; at
   // once, for no outcome of that life will come any more.
-  void on(const event::Recovered& ev) {
+  void on(const event::MessageRecovered& ev) {
     on(ev.message);
     Message& m = messages.at(ev.message.id);
-    m.sends = ev.attempts;
-    m.may_ran_zone = ev.may_have_run_zone, m.may_ran_sent = ev.may_have_run_sent;
-    if (ev.out) return take_over(m, *ev.out);
+    m.sends = ev.attempts_made;
+    m.may_ran_zone = ev.possible_execution_zone, m.may_ran_sent = ev.possible_execution_sent_at;
+    if (ev.in_flight) return take_over(m, *ev.in_flight);
     // It may be running still: what comes behind it in its order waits as after any attempt in doubt.
-    if (!m.key.empty() && m.may_ran_zone) rest(m.key, m.may_ran_sent + set.settle_after_doubt);
+    if (!m.key.empty() && m.may_ran_zone) rest(m.key, m.may_ran_sent + set.order_key_quiet_period);
     if (m.sends > 0) m.ready = now + micros(jittered(least_delay(m)));
-    const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
-    if (!barred && m.sends < set.attempts_max && m.ready < latest_send(m)) return;
+    const bool barred = m.cls->idempotency == Idempotency::none && m.may_ran_zone;
+    if (!barred && m.sends < set.max_attempts && m.ready < latest_send(m)) return;
     finish(m, false);
     forget(messages.find(m.id));
   }
@@ -810,12 +821,12 @@
     return least < kUnbounded ? least : 0;
   }
   // A call that is still out holds its slot and its message, and tells what becomes of the endpoint.
-  void take_over(Message& m, const event::CallOut& o) {
+  void take_over(Message& m, const event::CallInFlight& o) {
     if (endpoints.count(o.endpoint) == 0)
-      take({.id = o.endpoint, .destination = m.destination, .listing = Listing::gone});
+      take({.id = o.endpoint, .destination = m.destination, .status = EndpointStatus::removed});
     EndpointState& e = endpoints.at(o.endpoint);
-    const auto [at, fresh] = taken_over.try_emplace(o.call, next_call);
-    if (fresh) calls[next_call++] = Call{&e, o.sent, 0, 0, false}, e.calls.insert(at->second);
+    const auto [at, fresh] = taken_over.try_emplace(o.call_id, next_call);
+    if (fresh) calls[next_call++] = Call{&e, o.sent_at, 0, 0, false}, e.calls.insert(at->second);
     Call& call = calls.at(at->second);
     call.messages++, call.left++;
     m.out[o.attempt] = at->second;
@@ -829,8 +840,8 @@
     for (auto& [id, e] : endpoints) write_line(all, "endpoint " + id, e);
     return all.str();
   }
-  void on(const event::Recalled& ev) {
-    std::istringstream all(ev.learnt);
+  void on(const event::LearnedStateRestored& ev) {
+    std::istringstream all(ev.learned_state);
     std::string line, what, id;
     if (!std::getline(all, line) || line != kLearnt) return;
     while (std::getline(all, line)) {
@@ -853,18 +864,18 @@
   double share_left(int tenant) {
     if (tenant < 0 || tenant >= static_cast<int>(set.tenants.size())) return 1;
     const auto i = static_cast<std::size_t>(tenant);
-    const double quota = set.tenants[i].quota_per_s / set.relays;
+    const double quota = set.tenants[i].quota_per_second / set.relay_count;
     if (quota <= 0) return 1;
     const double tokens = share_tokens[i] + quota * seconds(now - share_at[i]);
     share_tokens[i] = std::min(tokens, burst_of(set.tenants[i]));
     share_at[i] = now;
-    if (share_tokens[i] < 1) return set.over_share_worth;
+    if (share_tokens[i] < 1) return set.over_quota_weight_fraction;
     share_tokens[i] -= 1;
     return 1;
   }
   bool may_refuse(const Message& m) const {
-    if (m.cls->effect == Effect::safe) return true;
-    if (m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::all) return true;
+    if (m.cls->idempotency == Idempotency::idempotent) return true;
+    if (m.cls->idempotency == Idempotency::by_key && m.cls->key_scope == KeyScope::all) return true;
     return m.out.empty() && !m.may_ran_zone;
   }
   void finish(Message& m, bool again, Time come_back = 0) {
@@ -872,7 +883,7 @@
     m.over = true;
     const Time soonest = micros(unit * kInitial);
     if (again && may_refuse(m))
-      out->push_back(action::Refuse{m.id, std::max(std::min(come_back, set.retry_after_max), soonest)});
+      out->push_back(action::Reject{m.id, std::max(std::min(come_back, set.max_retry_after), soonest)});
     else
       out->push_back(action::Fail{m.id});
   }
@@ -905,7 +916,7 @@
     list_changed = false;
     const auto leaves = [this](const EndpointState& e) {
       const bool known = e.health != Health::open && now < e.since + health_span();
-      return e.info.listing == Listing::gone && e.calls.empty() && !known && e.own.wait_until <= now;
+      return e.info.status == EndpointStatus::removed && e.calls.empty() && !known && e.own.wait_until <= now;
     };
     for (auto it = destinations.begin(); it != destinations.end();) {
       std::erase_if(it->second.endpoints, [&](const EndpointState* e) { return leaves(*e); });
@@ -914,16 +925,16 @@
     }
     std::erase_if(endpoints, [&](const auto& entry) { return leaves(entry.second); });
   }
-  void on(const event::Withdrawn& ev) {
+  void on(const event::ClientCancelled& ev) {
     auto it = messages.find(ev.id);
     if (it == messages.end()) return;
     it->second.over = true;
     forget(it);
   }
-  void on(const event::TimerDue&) {
+  void on(const event::TimerExpired&) {
     if (now >= timer_at) timer_at = kNever;
   }
-  void on(const event::ProbeEnded&) {}
+  void on(const event::HealthCheckEnded&) {}
 
   void on(const event::AttemptEnded& ev) {
     auto it = messages.find(ev.id);
@@ -936,8 +947,8 @@
     EndpointState& e = *call.endpoint;
     const Time sent = call.sent;
     Time& wait_until = target_of(e).wait_until;
-    if (ev.report.limit_rate > 0) target_of(e).limit = ev.report.limit_rate;
-    if (ev.told_wait > 0) wait_until = std::max(wait_until, now + ev.told_wait);
+    if (ev.load_report.rate_limit > 0) target_of(e).limit = ev.load_report.rate_limit;
+    if (ev.retry_after > 0) wait_until = std::max(wait_until, now + ev.retry_after);
     m.out.erase(attempt);
     const bool last = --call.left == 0;
     if (last) e.calls.erase(call_it->first);
@@ -945,38 +956,38 @@
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
     if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
       call.judged = true;
-      if (ev.outcome == Outcome::served)
+      if (ev.outcome == Outcome::succeeded)
         call_served(e, sent, ev);
-      else if (ev.outcome == Outcome::full)
+      else if (ev.outcome == Outcome::rejected)
         call_refused(e);
       else
         call_failed(e, ev, call.messages);
     }
     if (last) calls.erase(call_it), e.used_at = now, ended_at.insert(e.info.id);
 
-    const bool never_ran = ev.outcome == Outcome::full || ev.outcome == Outcome::connect_failed ||
+    const bool never_ran = ev.outcome == Outcome::rejected || ev.outcome == Outcome::connect_failed ||
                            ev.outcome == Outcome::not_sent;
     if (!never_ran && (!m.may_ran_zone || sent < m.may_ran_sent))
       m.may_ran_zone = e.info.zone, m.may_ran_sent = sent;
     const bool doubt =
         ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset || ev.outcome == Outcome::cancelled;
-    if (doubt && !m.key.empty()) rest(m.key, now + set.settle_after_doubt);
-    if (ev.closed || ev.outcome == Outcome::served) m.over = true;
+    if (doubt && !m.key.empty()) rest(m.key, now + set.order_key_quiet_period);
+    if (ev.message_settled || ev.outcome == Outcome::succeeded) m.over = true;
     if (!m.over && m.out.empty()) {
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
       m.ready = now + micros(jittered(d));
-      const bool barred = m.cls->effect == Effect::unsafe && m.may_ran_zone;
-      if (barred || m.sends >= set.attempts_max || m.ready >= latest_send(m)) finish(m, false);
+      const bool barred = m.cls->idempotency == Idempotency::none && m.may_ran_zone;
+      if (barred || m.sends >= set.max_attempts || m.ready >= latest_send(m)) finish(m, false);
     }
     forget(it);
   }
   // After this a send can't be made any more: the deadline, or the end of the key's window.
   Time latest_send(const Message& m) const {
     // Guards against ends that are told too late: a stall of a few rounds just before the deadline.
-    Time t = m.deadline - std::max(2 * set.tick, micros(kLeastLeft * shortest_aim));
-    if (m.cls->effect == Effect::keyed && m.may_ran_zone)
-      t = std::min(t, m.may_ran_sent + m.cls->key_window - set.tick);
+    Time t = m.deadline - std::max(2 * set.min_round_interval, micros(kLeastLeft * shortest_aim));
+    if (m.cls->idempotency == Idempotency::by_key && m.may_ran_zone)
+      t = std::min(t, m.may_ran_sent + m.cls->idempotency_window - set.min_round_interval);
     return t;
   }
 
@@ -992,19 +1003,22 @@
   }
 
   // ---- The gate. Every send passes here; it tells when to look again. ----
-  bool usable(const EndpointState& e) const { return e.info.listing == Listing::active && !e.suspended; }
+  bool usable(const EndpointState& e) const {
+    return e.info.status == EndpointStatus::active && !e.suspended;
+  }
   bool passes(const Message& m, EndpointState& e, Time& when) {
     if (!usable(e)) return false;
-    const bool keyed_by_zone = m.cls->effect == Effect::keyed && m.cls->group == KeyGroup::zone;
+    const bool keyed_by_zone =
+        m.cls->idempotency == Idempotency::by_key && m.cls->key_scope == KeyScope::zone;
     if (keyed_by_zone && m.may_ran_zone && e.info.zone != *m.may_ran_zone) return false;
     Target& t = target_of(e);
     const Time held = std::max(t.wait_until, t.hold_until);
     if (held > now) return when = std::min(when, held), false;
     if (room_in_call(e)) return true;
-    if (calls.size() >= static_cast<std::size_t>(set.slots)) return false;
+    if (calls.size() >= static_cast<std::size_t>(set.max_calls_in_flight)) return false;
     const Time ready = std::max({budget_ready(e), pace_ready(t), thin_ready(t, m)});
     if (ready > now) return when = std::min(when, ready), false;
-    if (e.health == Health::closed && m.cls->effect == Effect::unsafe && e.doubt_run && now < m.aim) {
+    if (e.health == Health::closed && m.cls->idempotency == Idempotency::none && e.doubt_run && now < m.aim) {
       // A trial call that may be lost is no place for a message that can't be repeated.
       return when = std::min(when, m.aim), false;
     }
@@ -1018,10 +1032,13 @@
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
     // Trials are spaced; all of them out together may hold a part of the slots only.
-    if (on_trial(e)) return trials_out() < std::max(1.0, kTrialSlots * set.slots) ? set.slots : 0;
+    if (on_trial(e))
+      return trials_out() < std::max(1.0, kTrialSlots * set.max_calls_in_flight) ? set.max_calls_in_flight
+                                                                                 : 0;
     const int late = overdue(e);
-    const double most = late > 0 || e.fail_run > 0 ? std::max(1.0, set.slots * kDoubtSlots)
-                                                   : std::max(1.0, std::ceil(set.slots * kTargetSlots));
+    const double most = late > 0 || e.fail_run > 0
+                            ? std::max(1.0, set.max_calls_in_flight * kDoubtSlots)
+                            : std::max(1.0, std::ceil(set.max_calls_in_flight * kTargetSlots));
     double limit = std::min(most, kBaseCalls + 3 * e.served.at(now) * e.latency);
     if (e.call_cap > 0) limit = std::min<double>(limit, e.call_cap);
     return std::max(1, static_cast<int>(limit));
@@ -1035,14 +1052,14 @@
   // Cheaper first: shorter expected wait there, its fee, the distance.
   double price(const EndpointState& e) const {
     const auto zone = static_cast<std::size_t>(e.info.zone);
-    const double fee = e.apart && zone < set.zone_fees.size() ? set.zone_fees[zone] : 0;
+    const double fee = e.apart && zone < set.zone_costs.size() ? set.zone_costs[zone] : 0;
     const double load = static_cast<double>(e.calls.size()) + 1 + e.fail_run;
     return load * e.latency * (e.health == Health::ramp ? 2 : 1) * (1 + fee) +
            (e.info.zone == set.zone ? 0 : 0.02);
   }
   bool try_send(Message& m) {
     Time when = kNever;
-    if (m.sends >= set.attempts_max || now >= latest_send(m)) return false;
+    if (m.sends >= set.max_attempts || now >= latest_send(m)) return false;
     if (first_list_by > 0) {
       if (now < first_list_by) return wake_by(first_list_by), false;
       log("no list yet: serving by the one of an earlier life");
@@ -1089,12 +1106,12 @@
     }
     Call& call = calls[e.open_call];
     call.messages++, call.left++;
-    const bool unsafe = m.cls->effect == Effect::unsafe;
-    const double aims = seconds(m.cls->aim) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
+    const bool unsafe = m.cls->idempotency == Idempotency::none;
+    const double aims = seconds(m.cls->latency_objective) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
     const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
     m.out[m.sends++] = e.open_call;
     // Guards against a connection that comes up when the key is forgotten: the message would run twice.
-    const Time begin = m.cls->effect == Effect::keyed && m.may_ran_zone ? latest_send(m) - now : 0;
+    const Time begin = m.cls->idempotency == Idempotency::by_key && m.may_ran_zone ? latest_send(m) - now : 0;
     out->push_back(action::Send{m.id, e.info.id, timeout, begin});
   }
 
@@ -1105,14 +1122,15 @@
   void give_up(Message& m, bool slots_short) {
     const auto [attempt, call_id] = *m.out.begin();
     const Call& call = calls[call_id];
-    const bool unsafe = m.cls->effect == Effect::unsafe, overtaken = call.sent < call.endpoint->served_sent;
+    const bool unsafe = m.cls->idempotency == Idempotency::none,
+               overtaken = call.sent < call.endpoint->served_sent;
     const bool silent = call.sent >= call.endpoint->served_at;  // answers to earlier calls: slow, at work
     if (m.gave_up == attempt || !(overtaken || (slots_short && silent))) return;
-    const double least = unsafe ? seconds(m.cls->aim) : 0;
+    const double least = unsafe ? seconds(m.cls->latency_objective) : 0;
     const double times = slots_short ? kOverdueTimes : kTimeoutTimes;
     double after = times * call.endpoint->latency + kOverdueMore;
     // Later it is worth less; but where all destinations answer slowly, patience is cheaper than cutting.
-    if (slots_short) after = std::min(after, seconds(m.cls->aim)) * std::max(1.0, slowness);
+    if (slots_short) after = std::min(after, seconds(m.cls->latency_objective)) * std::max(1.0, slowness);
     const Time due = call.sent + micros(std::max(least, after));
     if (now < due) return wake_by(due);
     m.gave_up = attempt;
@@ -1124,12 +1142,12 @@
     std::vector<std::pair<double, Message*>> waiting;
     std::vector<MessageId> ended;
     std::size_t held = 0;
-    const bool slots_short = calls.size() >= static_cast<std::size_t>(set.slots);
+    const bool slots_short = calls.size() >= static_cast<std::size_t>(set.max_calls_in_flight);
     for (auto& [id, m] : messages) {
       if (m.over) continue;
       held++;
       const bool in_flight = !m.out.empty();
-      const Time last = in_flight ? m.deadline - 2 * set.tick : latest_send(m);
+      const Time last = in_flight ? m.deadline - 2 * set.min_round_interval : latest_send(m);
       if (now >= last) {
         finish(m, false);
         ended.push_back(id);
@@ -1137,7 +1155,7 @@
       }
       wake_by(last);
       if (in_flight) {
-        if (set.cancelling) give_up(m, slots_short);
+        if (set.cancellation) give_up(m, slots_short);
         continue;
       }
       if (const Time until = barred_until(m); until < kNever) {
@@ -1154,7 +1172,7 @@
     for (auto& [u, m] : waiting)
       if (!try_send(*m)) left.push_back(m);
     // Buffer nearly full: hand back what is worth least, rather than have the next ones turned away.
-    auto most = static_cast<std::size_t>(kBufferFull * set.open_max);
+    auto most = static_cast<std::size_t>(kBufferFull * set.max_open_messages);
     for (; held > std::max<std::size_t>(most, 1) && !left.empty(); held--, left.pop_back()) {
       if (!may_refuse(*left.back())) continue;
       finish(*left.back(), true);
@@ -1167,7 +1185,7 @@
     now = std::max(now, at), out = &actions, wake = kNever;
     for (const auto& ev : events) std::visit([this](const auto& e) { on(e); }, ev);
     taken_over.clear();
-    if (set.subscribe) ask();
+    if (set.subscribes_to_list) ask();
     dispatch();
     drop_unused();
     sweep();
@@ -1185,25 +1203,26 @@
   };
   need(!s.classes.empty(), "classes: at least one is needed");
   for (const auto& c : s.classes) {
-    need(c.aim > 0, "classes.aim: must be above 0");
+    need(c.latency_objective > 0, "classes.latency_objective: must be above 0");
     need(c.deadline > 0, "classes.deadline: must be above 0");
-    need(c.worth >= 0 && c.late_worth >= 0, "classes.worth and late_worth: must not be negative");
-    need(c.key_window >= 0, "classes.key_window: must not be negative");
-  }
-  for (const auto& k : s.kinds) need(k.bundle_max >= 1, "kinds.bundle_max: must be 1 or more");
-  for (const auto& t : s.tenants) need(t.quota_per_s >= 0, "tenants.quota_per_s: must not be negative");
-  need(s.relays >= 1, "relays: must be 1 or more");
-  need(s.slots >= 1, "slots: must be 1 or more");
-  need(s.open_max >= 1, "open_max: must be 1 or more");
-  need(s.attempts_max >= 1, "attempts_max: must be 1 or more");
-  need(s.tick >= 0, "tick: must not be negative");
+    need(c.priority_weight >= 0 && c.late_weight_fraction >= 0,
+         "classes.priority_weight and late_weight_fraction: must not be negative");
+    need(c.idempotency_window >= 0, "classes.idempotency_window: must not be negative");
+  }
+  for (const auto& k : s.kinds) need(k.max_batch_size >= 1, "kinds.max_batch_size: must be 1 or more");
+  for (const auto& t : s.tenants) need(t.quota_per_second >= 0, "tenants.quota_per_second: must not be negative");
+  need(s.relay_count >= 1, "relay_count: must be 1 or more");
+  need(s.max_calls_in_flight >= 1, "max_calls_in_flight: must be 1 or more");
+  need(s.max_open_messages >= 1, "max_open_messages: must be 1 or more");
+  need(s.max_attempts >= 1, "max_attempts: must be 1 or more");
+  need(s.min_round_interval >= 0, "min_round_interval: must not be negative");
   need(s.connect_timeout >= 0, "connect_timeout: must not be negative");
-  need(s.connection_idle >= 0, "connection_idle: must not be negative");
-  need(s.drain_grace >= 0 && s.must_ask_in >= 0 && s.settle_after_doubt >= 0 && s.answer_slack >= 0,
-       "drain_grace, must_ask_in, settle_after_doubt, answer_slack: must not be negative");
-  need(s.fall_multiple > 0, "fall_multiple: must be above 0");
-  need(s.overload_for >= 0 && s.cold >= 0, "overload_for and cold: must not be negative");
-  need(s.cold_from >= 0 && s.cold_from <= 1, "cold_from: must lie between 0 and 1");
+  need(s.connection_idle_timeout >= 0, "connection_idle_timeout: must not be negative");
+  need(s.drain_grace >= 0 && s.max_poll_interval >= 0 && s.order_key_quiet_period >= 0 && s.answer_slack >= 0,
+       "drain_grace, max_poll_interval, order_key_quiet_period, answer_slack: must not be negative");
+  need(s.overload_multiple > 0, "overload_multiple: must be above 0");
+  need(s.overload_duration >= 0 && s.slow_start_duration >= 0, "overload_duration and slow_start_duration: must not be negative");
+  need(s.slow_start_capacity >= 0 && s.slow_start_capacity <= 1, "slow_start_capacity: must lie between 0 and 1");
 }
 
 Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed) {
@@ -1214,19 +1233,19 @@
 Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
 Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
 
-std::size_t Dispatcher::kept() const {
+std::size_t Dispatcher::tracked_object_count() const {
   const State& s = *state_;
   return s.endpoints.size() + s.destinations.size() + s.messages.size() + s.keys.size() + s.calls.size() +
          s.resting.size() + s.suspended.size();
 }
 
-std::string Dispatcher::learnt() const { return state_->learnt(); }
+std::string Dispatcher::learned_state() const { return state_->learnt(); }
 
-std::size_t Dispatcher::avoided() const {
+std::size_t Dispatcher::ejected_endpoint_count() const {
   const auto& all = state_->endpoints;
   return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [](const auto& entry) {
     const EndpointState& e = entry.second;
-    return e.info.listing != Listing::gone && (e.suspended || e.health == Health::closed);
+    return e.info.status != EndpointStatus::removed && (e.suspended || e.health == Health::closed);
   }));
 }
 
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -50,7 +50,7 @@
     codec_.take(R"({"kind":"ROUND","Clock":1})", reply);
     try {
       codec_.take(line, reply);
-    } catch (const configuration::WireError& e) {
+    } catch (const configuration::FieldError& e) {
       return e.what();
     }
     return "";
--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -4,16 +4,16 @@
   dispatch::Settings settings;
   settings.classes.push_back({});
   settings.kinds.push_back({});
-  settings.slots = 4;
-  settings.open_max = 10;
-  settings.attempts_max = 3;
+  settings.max_calls_in_flight = 4;
+  settings.max_open_messages = 10;
+  settings.max_attempts = 3;
   dispatch::Dispatcher dispatcher(settings, 1);
-  dispatch::event::ListWhole list;
+  dispatch::event::EndpointListSnapshot list;
   list.endpoints.push_back({.id = "a", .destination = 7});
   dispatch::event::Arrival arrival;
   arrival.id = 1;
   arrival.destination = 7;
-  arrival.time_left = 5'000'000;
+  arrival.time_to_deadline = 5'000'000;
   std::vector<dispatch::Action> actions;
   dispatcher.handle(0, {list, arrival}, actions);
   for (const auto& action : actions)
--- a/tests/calls_test.cpp
+++ b/tests/delivery_client_test.cpp
@@ -1,5 +1,5 @@
 // Calls alone, against a fake endpoint on loopback sockets. Each test says which failure it guards against.
-#include "calls.hpp"
+#include "delivery_client.hpp"
 
 #include "relay_harness.hpp"
 
@@ -15,15 +15,15 @@
   CallsTest() : endpoint(io, stay_silent) {
     const std::string address = endpoint.address();
     const auto port = std::stoi(address.substr(address.rfind(':') + 1));
-    calls.locate("s-1", {net::ip::make_address(own_address()), static_cast<std::uint16_t>(port)});
+    calls.set_address("s-1", {net::ip::make_address(own_address()), static_cast<std::uint16_t>(port)});
   }
-  static CallLimits limits() {
-    CallLimits l;
-    l.slots = 4, l.connections = 8;
-    l.connect_timeout = kLong, l.idle = kLong;
+  static DeliveryLimits limits() {
+    DeliveryLimits l;
+    l.max_calls_in_flight = 4, l.max_connections = 8;
+    l.connect_timeout = kLong, l.idle_timeout = kLong;
     return l;
   }
-  static Outgoing message(MessageId id, Time timeout) {
+  static OutgoingMessage message(MessageId id, Time timeout) {
     return {id, 0, timeout, "m" + std::to_string(id), "hello"};
   }
   template <class Condition>
@@ -39,7 +39,7 @@
   net::io_context io;
   Server endpoint;
   std::vector<AttemptEnded> ended;
-  Calls calls{io, limits(), [this](const AttemptEnded& e) { ended.push_back(e); }};
+  DeliveryClient calls{io, limits(), [this](const AttemptEnded& e) { ended.push_back(e); }};
 };
 
 // A message that was told as ended is sent again, so its call must be over by then: else a second copy is
@@ -50,9 +50,9 @@
   EXPECT_EQ(endpoint.got[0].request.target(), "/events/bundle");
   calls.cancel(1, 0);
   EXPECT_TRUE(ended.empty());
-  EXPECT_EQ(calls.out(), 1u);
+  EXPECT_EQ(calls.in_flight_count(), 1u);
   calls.cancel(2, 0);
-  EXPECT_EQ(calls.out(), 0u);
+  EXPECT_EQ(calls.in_flight_count(), 0u);
   ASSERT_EQ(ended.size(), 2u);
   for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::cancelled);
   wait_for([&] { return endpoint.sessions[0]->ended; }, "its connection is closed");
@@ -66,16 +66,16 @@
   EXPECT_TRUE(ended.empty());
   endpoint.got[0].session->answer(200, "", R"([{"id":"m1","state":"done"},{"id":"m2","state":"busy"}])");
   wait_for([&] { return ended.size() == 2; }, "both have their end");
-  EXPECT_EQ(ended[0].outcome, Outcome::served);
-  EXPECT_TRUE(ended[0].closed);
-  EXPECT_EQ(ended[1].outcome, Outcome::full);
+  EXPECT_EQ(ended[0].outcome, Outcome::succeeded);
+  EXPECT_TRUE(ended[0].message_settled);
+  EXPECT_EQ(ended[1].outcome, Outcome::rejected);
 }
 
 // The answer to a bundle one of whose messages is over delivers none of them, whatever it says: none may be
 // taken as delivered by it, so none is waited for any longer.
 TEST_F(CallsTest, ABundleIsGivenUpWhenTheFirstOfItsMessagesIsOver) {
   auto first = message(1, kLong);
-  first.left = kSoon;
+  first.time_to_deadline = kSoon;
   calls.send("s-1", {message(2, kLong), std::move(first)});
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
   EXPECT_EQ(endpoint.got[0].request["X-Deadline"], std::to_string(kSoon) + "u");
@@ -87,7 +87,7 @@
 // Each is told once, with its own outcome, where none is answered.
 TEST_F(CallsTest, ABundleWithoutAnAnswerEndsWithItsLastTimeout) {
   calls.send("s-1", {message(1, kSoon), message(2, 3 * kSoon)});
-  wait_for([&] { return calls.out() == 0; }, "the call ends");
+  wait_for([&] { return calls.in_flight_count() == 0; }, "the call ends");
   ASSERT_EQ(ended.size(), 2u);
   for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::timeout);
   EXPECT_GE(ended[0].latency, 3 * kSoon);
@@ -102,9 +102,9 @@
   full.listen(0);
   tcp::socket first(io);
   first.connect(full.local_endpoint());
-  calls.locate("s-2", full.local_endpoint());
+  calls.set_address("s-2", full.local_endpoint());
   auto late = message(1, kLong);
-  late.begin_by = steady_now() + kSoon;
+  late.start_by = steady_now() + kSoon;
   calls.send("s-2", {late, message(2, kLong)});
   wait_for([&] { return ended.size() == 1; }, "it ends");
   EXPECT_EQ(ended[0].id, 1u);
@@ -131,7 +131,7 @@
   endpoint.got[0].session->answer(200);
   wait_for([&] { return ended.size() == 1; }, "its answer");
   auto late = message(2, kLong);
-  late.begin_by = steady_now();
+  late.start_by = steady_now();
   calls.send("s-1", {late});
   wait_for([&] { return ended.size() == 2; }, "its end");
   EXPECT_EQ(ended[1].outcome, Outcome::not_sent);
--- a/tests/harness.hpp
+++ b/tests/dispatcher_harness.hpp
@@ -17,21 +17,29 @@
 
 inline Settings plain() {
   Settings s;
-  s.classes = {{.worth = 1, .late_worth = 0, .aim = 1 * kS, .deadline = 6 * kS, .effect = Effect::safe},
-               {.worth = 3, .late_worth = 0.3, .aim = 2 * kS, .deadline = 20 * kS, .effect = Effect::unsafe},
-               {.worth = 1,
-                .late_worth = 0.3,
-                .aim = 2 * kS,
+  s.classes = {{.priority_weight = 1,
+                .late_weight_fraction = 0,
+                .latency_objective = 1 * kS,
+                .deadline = 6 * kS,
+                .idempotency = Idempotency::idempotent},
+               {.priority_weight = 3,
+                .late_weight_fraction = 0.3,
+                .latency_objective = 2 * kS,
                 .deadline = 20 * kS,
-                .effect = Effect::keyed,
-                .key_window = 5 * kS}};
+                .idempotency = Idempotency::none},
+               {.priority_weight = 1,
+                .late_weight_fraction = 0.3,
+                .latency_objective = 2 * kS,
+                .deadline = 20 * kS,
+                .idempotency = Idempotency::by_key,
+                .idempotency_window = 5 * kS}};
   s.kinds = {{}};
-  s.slots = 16;
-  s.open_max = 200;
-  s.attempts_max = 8;
-  s.tick = 5 * kMs;
+  s.max_calls_in_flight = 16;
+  s.max_open_messages = 200;
+  s.max_attempts = 8;
+  s.min_round_interval = 5 * kMs;
   s.answer_slack = 20 * kMs;
-  s.overload_for = 2 * kS;
+  s.overload_duration = 2 * kS;
   return s;
 }
 
@@ -54,20 +62,20 @@
     dispatcher_.handle(now, events, actions);
     for (const auto& a : actions) {
       if (const auto* x = std::get_if<action::Send>(&a)) {
-        const Sent one{x->id, attempts_[x->id]++, x->endpoint, now, x->timeout, x->begin};
+        const Sent one{x->id, attempts_[x->id]++, x->endpoint, now, x->timeout, x->start_within};
         sent.push_back(one);
         out.push_back(one);
-      } else if (const auto* r = std::get_if<action::Refuse>(&a)) {
-        refused[r->id] = now, come_back[r->id] = r->come_back;
+      } else if (const auto* r = std::get_if<action::Reject>(&a)) {
+        refused[r->id] = now, come_back[r->id] = r->retry_after;
       } else if (const auto* f = std::get_if<action::Fail>(&a)) {
         failed[f->id] = now;
       } else if (const auto* t = std::get_if<action::SetTimer>(&a)) {
         timers_.push_back(now + t->after);
       } else if (const auto* c = std::get_if<action::Cancel>(&a)) {
         cancelled[c->id] = now;
-      } else if (const auto* n = std::get_if<action::TellPeer>(&a)) {
-        notes.emplace_back(now, n->body);
-      } else if (const auto* i = std::get_if<action::CloseIdle>(&a)) {
+      } else if (const auto* n = std::get_if<action::SendGossip>(&a)) {
+        notes.emplace_back(now, n->payload);
+      } else if (const auto* i = std::get_if<action::CloseIdleConnections>(&a)) {
         idle_closed[i->endpoint].push_back(now);
       } else if (std::holds_alternative<action::Subscribe>(a)) {
         asked.push_back(now);
@@ -81,18 +89,20 @@
       if (it == timers_.end() || *it > until) break;
       now = std::max(now, *it);
       timers_.erase(it);
-      round({event::TimerDue{0}});
+      round({event::TimerExpired{0}});
     }
     now = until;
   }
-  void list(const std::vector<Endpoint>& endpoints) { round({event::ListWhole{endpoints, false}}); }
-  void change(const Endpoint& e) { round({event::ListChanges{{e}}}); }
+  void list(const std::vector<Endpoint>& endpoints) {
+    round({event::EndpointListSnapshot{endpoints, false}});
+  }
+  void change(const Endpoint& e) { round({event::EndpointListUpdate{{e}}}); }
   MessageId arrive(Class c, DestinationId destination = 1, std::string key = "", Time left = 0) {
     event::Arrival a;
     a.id = ++last_id_;
     a.destination = destination;
     a.message_class = c;
-    a.time_left = left > 0 ? left : plain().classes[c].deadline;
+    a.time_to_deadline = left > 0 ? left : plain().classes[c].deadline;
     a.order_key = std::move(key);
     round({a});
     return a.id;
@@ -108,8 +118,8 @@
     e.endpoint = it->endpoint;
     e.outcome = outcome;
     e.latency = now - it->at;
-    e.closed = outcome == Outcome::served;
-    e.told_wait = told_wait;
+    e.message_settled = outcome == Outcome::succeeded;
+    e.retry_after = told_wait;
     out.erase(it);
     return e;
   }
@@ -127,9 +137,9 @@
       for (due += rate * 0.05; due >= 1; due -= 1) arrive(c, destination);
     }
   }
-  std::size_t kept() const { return dispatcher_.kept(); }
-  std::size_t avoided() const { return dispatcher_.avoided(); }
-  std::string learnt() const { return dispatcher_.learnt(); }
+  std::size_t kept() const { return dispatcher_.tracked_object_count(); }
+  std::size_t avoided() const { return dispatcher_.ejected_endpoint_count(); }
+  std::string learnt() const { return dispatcher_.learned_state(); }
   int sends_of(MessageId id) const {
     return static_cast<int>(
         std::count_if(sent.begin(), sent.end(), [&](const Sent& s) { return s.id == id; }));
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -4,12 +4,12 @@
 #include <set>
 #include <stdexcept>
 
-#include "harness.hpp"
+#include "dispatcher_harness.hpp"
 
 namespace dispatch::testing {
 namespace {
 
-std::optional<Outcome> serve(const Sent&) { return Outcome::served; }
+std::optional<Outcome> serve(const Sent&) { return Outcome::succeeded; }
 
 // The waits between outcome and next try of one message that fails again and again.
 std::vector<Time> waits(Relay& r, int tries, Outcome o) {
@@ -81,10 +81,10 @@
   r.live(20 * kS, 20, kSafe, 1, [&](const Sent&) -> std::optional<Outcome> {
     room = std::min(3.0, room + 10 * static_cast<double>(r.now - last) / kS);
     last = r.now;
-    if (room >= 1) return room -= 1, Outcome::served;
+    if (room >= 1) return room -= 1, Outcome::succeeded;
     refused++;
     late_refused += r.now > from + 5 * kS;
-    return Outcome::full;
+    return Outcome::rejected;
   });
   EXPECT_GT(refused, 0);
   EXPECT_LT(late_refused, 30);                            // of 150 calls that the limit takes in that time
@@ -103,7 +103,7 @@
 }
 TEST(Bulkhead, SlotsAreNeverExceeded) {
   auto s = plain();
-  s.slots = 3;
+  s.max_calls_in_flight = 3;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}, {.id = "c", .destination = 3}});
   for (int i = 0; i < 9; i++) r.arrive(kSafe, 1 + i % 3);
@@ -123,16 +123,16 @@
 }
 TEST(Bundles, ShareOneCallAndOneSlot) {
   auto s = plain();
-  s.slots = 1;
-  s.kinds[0].bundle_max = 4;
+  s.max_calls_in_flight = 1;
+  s.kinds[0].max_batch_size = 4;
   Relay r(s);
   std::vector<Event> events;
-  event::ListWhole list;
+  event::EndpointListSnapshot list;
   list.endpoints = {{.id = "a", .destination = 1}};
   events.push_back(list);
   for (MessageId id = 100; id < 106; id++) {
     event::Arrival a;
-    a.id = id, a.destination = 1, a.time_left = 6 * kS;
+    a.id = id, a.destination = 1, a.time_to_deadline = 6 * kS;
     events.push_back(a);
   }
   r.round(events);
@@ -140,8 +140,8 @@
 }
 TEST(Bundles, StaySoWhereOneCallInFourIsResetEverywhere) {
   auto s = plain();
-  s.slots = 1;  // one call at a time
-  s.kinds[0].bundle_max = 8;
+  s.max_calls_in_flight = 1;  // one call at a time
+  s.kinds[0].max_batch_size = 8;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   std::size_t calls = 0, messages = 0;
@@ -150,7 +150,8 @@
     std::vector<Event> events;
     for (int i = 0; i < 8; i++) {
       event::Arrival a;
-      a.id = ++id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;  // a reset ends them
+      a.id = ++id, a.destination = 1, a.message_class = kUnsafe,
+      a.time_to_deadline = 20 * kS;  // a reset ends them
       events.push_back(a);
     }
     r.round(events);
@@ -158,7 +159,7 @@
     r.run_to(r.now + 100 * kMs);
     std::vector<Event> ends;
     for (const auto& sent : std::vector<Sent>(r.out))
-      ends.push_back(r.ending(sent.id, round % 4 == 0 ? Outcome::reset : Outcome::served));
+      ends.push_back(r.ending(sent.id, round % 4 == 0 ? Outcome::reset : Outcome::succeeded));
     r.round(ends);
   }
   EXPECT_GE(calls, 100u);
@@ -166,7 +167,7 @@
 }
 TEST(Bundles, ShrinkWhenCallsFail) {
   auto s = plain();
-  s.kinds[0].bundle_max = 8;
+  s.kinds[0].max_batch_size = 8;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   const auto burst = [&] {
@@ -174,7 +175,8 @@
     for (int i = 0; i < 8; i++) {
       static MessageId id = 1000;
       event::Arrival a;
-      a.id = ++id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;  // a reset ends them
+      a.id = ++id, a.destination = 1, a.message_class = kUnsafe,
+      a.time_to_deadline = 20 * kS;  // a reset ends them
       events.push_back(a);
     }
     r.round(events);
@@ -199,13 +201,13 @@
 // returns.
 TEST(Bundles, StayLargeAfterConnectsThatFailed) {
   auto s = plain();
-  s.kinds[0].bundle_max = 8, s.slots = 1;
+  s.kinds[0].max_batch_size = 8, s.max_calls_in_flight = 1;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   std::vector<Event> events;
   for (MessageId id = 1001; id <= 1008; id++) {
     event::Arrival a;
-    a.id = id, a.destination = 1, a.message_class = kUnsafe, a.time_left = 20 * kS;
+    a.id = id, a.destination = 1, a.message_class = kUnsafe, a.time_to_deadline = 20 * kS;
     events.push_back(a);
   }
   r.round(events);
@@ -223,7 +225,7 @@
 }
 TEST(GiveUp, ACallThatLaterOnesOvertookIsCancelled) {
   auto s = plain();
-  s.cancelling = true;
+  s.cancellation = true;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   r.live(3 * kS, 10, kSafe, 1, serve);
@@ -231,7 +233,7 @@
   const auto lost = r.arrive(kSafe);
   r.live(2 * kS, 10, kSafe, 1, [&](const Sent& sent) -> std::optional<Outcome> {
     if (sent.id == lost) return std::nullopt;
-    return Outcome::served;
+    return Outcome::succeeded;
   });
   ASSERT_EQ(r.cancelled.count(lost), 1u);
   r.end(lost, Outcome::cancelled);
@@ -240,8 +242,8 @@
 }
 TEST(GiveUp, OverdueCallsFreeTheSlotsThatOthersNeed) {
   auto s = plain();
-  s.cancelling = true;
-  s.slots = 3;
+  s.cancellation = true;
+  s.max_calls_in_flight = 3;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}, {.id = "c", .destination = 3}});
   for (int i = 0; i < 3; i++) r.arrive(kSafe, 1);
@@ -253,8 +255,8 @@
 }
 TEST(GiveUp, CallsAtASlowEndpointThatStillAnswersAreKept) {
   auto s = plain();
-  s.cancelling = true;
-  s.slots = 3;
+  s.cancellation = true;
+  s.max_calls_in_flight = 3;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 2}});
   const auto early = r.arrive(kSafe, 1);
@@ -262,13 +264,13 @@
   const auto late = r.arrive(kSafe, 1);
   for (int i = 0; i < 3; i++) r.arrive(kSafe, 2);  // slots are short from here
   r.run_to(r.now + 300 * kMs);
-  r.end(early, Outcome::served);  // slow, but at work
+  r.end(early, Outcome::succeeded);  // slow, but at work
   r.run_to(r.now + 1100 * kMs);
   EXPECT_EQ(r.cancelled.count(late), 0u);
 }
 TEST(Bulkhead, TrialsOfManySilentEndpointsHoldAPartOfTheSlots) {
   auto s = plain();
-  s.slots = 8, s.cold = 300 * kS;  // what is known of them stays
+  s.max_calls_in_flight = 8, s.slow_start_duration = 300 * kS;  // what is known of them stays
   Relay r(s);
   std::vector<Endpoint> endpoints;
   for (int d = 1; d <= 12; d++) endpoints.push_back({.id = std::to_string(d), .destination = d});
@@ -288,7 +290,7 @@
 // A relay with a call in minutes there sees no second failure before its retry at the sibling.
 TEST(Shut, OneFailedConnectClosesAllEndpointsOfAThinTarget) {
   auto s = plain();
-  s.relays = 300, s.weights = WeightKind::rough;
+  s.relay_count = 300, s.weights = WeightKind::rough;
   Relay r(s);
   r.list({{.id = "a", .destination = 1, .weight = 3}, {.id = "b", .destination = 1, .weight = 3}});
   r.run_to(r.now + 60 * kS);  // long enough to know that it calls seldom
@@ -305,7 +307,7 @@
   const std::vector<Sent> all = r.out;
   r.run_to(r.now + 500 * kMs);
   for (const auto& s : all)
-    if (s.endpoint == "b") r.end(s.id, Outcome::served);
+    if (s.endpoint == "b") r.end(s.id, Outcome::succeeded);
   ASSERT_GE(r.sends_between(0, r.now, "a"), 3);
   for (const auto& s : all)
     if (s.endpoint == "a") r.end(s.id, Outcome::reset);
@@ -313,11 +315,11 @@
 }
 TEST(Shut, ThePaceCutByItsRefusalsRecovers) {
   auto s = plain();
-  s.cold = 4 * kS;
+  s.slow_start_duration = 4 * kS;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   r.live(10 * kS, 20, kSafe, 1, serve);
-  r.live(10 * kS, 20, kSafe, 1, [](const Sent&) -> std::optional<Outcome> { return Outcome::full; });
+  r.live(10 * kS, 20, kSafe, 1, [](const Sent&) -> std::optional<Outcome> { return Outcome::rejected; });
   r.live(8 * kS, 20, kSafe, 1, serve);
   EXPECT_GE(r.sends_between(r.now - 2 * kS, r.now), 30);
 }
@@ -325,7 +327,7 @@
 constexpr int kTen = 10;
 Relay ten_destinations() {
   auto s = plain();
-  s.cold = 8 * kS, s.slots = 64;
+  s.slow_start_duration = 8 * kS, s.max_calls_in_flight = 64;
   Relay r(s);
   std::vector<Endpoint> endpoints;
   for (int i = 0; i < kTen; i++)
@@ -337,7 +339,7 @@
 void live_with_resets(Relay& r, Time span, Lost lost) {
   for (const Time until = r.now + span; r.now < until; r.run_to(r.now + 100 * kMs)) {
     for (const auto& sent : std::vector<Sent>(r.out))
-      r.end(sent.id, lost(sent) ? Outcome::reset : Outcome::served);
+      r.end(sent.id, lost(sent) ? Outcome::reset : Outcome::succeeded);
     for (int i = 0; i < kTen; i++) r.arrive(kSafe, i);
   }
 }
@@ -377,7 +379,7 @@
 }
 TEST(Shut, TrialsOfManyRelaysDoNotAddUp) {
   auto s = plain();
-  s.relays = 200, s.fall_multiple = 2, s.cold_from = 0.2, s.cold = 10 * kS;
+  s.relay_count = 200, s.overload_multiple = 2, s.slow_start_capacity = 0.2, s.slow_start_duration = 10 * kS;
   std::size_t trials = 0, asked = 0;
   for (std::uint64_t seed = 1; seed <= 40; seed++) {  // each asks for a call in five seconds
     Relay r(s, seed);
@@ -394,7 +396,7 @@
 TEST(Shut, OneProvableFailureClosesWhereCallsAreRareOneErrorDoesNot) {
   for (auto o : {Outcome::connect_failed, Outcome::error}) {
     auto s = plain();
-    s.relays = 200;
+    s.relay_count = 200;
     Relay r(s);
     r.list({{.id = "a", .destination = 1}});
     r.live(60 * kS, 0.05, kSafe, 1, serve);
@@ -417,26 +419,26 @@
 // asked.
 TEST(Pace, ABurstOfRefusalsDoesNotEndAllCalls) {
   auto s = plain();
-  s.relays = 2;
+  s.relay_count = 2;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
   std::vector<MessageId> burst;
   for (int i = 0; i < 6; i++) burst.push_back(r.arrive(kUnsafe));
-  for (const auto id : burst) r.end(id, Outcome::full, 2 * kS), r.run_to(r.now + 80 * kMs);
+  for (const auto id : burst) r.end(id, Outcome::rejected, 2 * kS), r.run_to(r.now + 80 * kMs);
   const Time from = r.now;
   r.live(12 * kS, 5, kSafe, 1, serve);
   EXPECT_GE(r.sends_between(from, r.now), 10);
 }
 TEST(Pace, ARefusedMessageOfARareRelayIsTriedAgain) {
   auto s = plain();
-  s.relays = 300;
+  s.relay_count = 300;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kSafe);
-  r.end(id, Outcome::full);
+  r.end(id, Outcome::rejected);
   r.run_to(r.now + 2 * kS);
   ASSERT_EQ(r.sends_of(id), 2);
-  r.end(id, Outcome::full);
+  r.end(id, Outcome::rejected);
   r.run_to(r.now + 600 * kMs);
   EXPECT_EQ(r.sends_of(id), 2);  // and rarer with each refusal
 }
@@ -447,14 +449,14 @@
   for (const int relays : {2, 200}) {
     std::size_t sends = 0;
     auto s = plain();
-    s.relays = relays, s.fall_multiple = 2, s.cold_from = 0.2;
+    s.relay_count = relays, s.overload_multiple = 2, s.slow_start_capacity = 0.2;
     for (std::uint64_t seed = 1; seed <= 40; seed++) {
       Relay r(s, seed);
       r.list({{.id = "a", .destination = 1}});
       for (int i = 0; i < 2; i++) {
         r.arrive(kUnsafe);
         for (int k = 0; k < 40 && r.out.empty(); k++) r.run_to(r.now + 100 * kMs);
-        for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::full);
+        for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::rejected);
         r.run_to(r.now + 10 * kMs);
       }
       const auto before = r.sent.size();
@@ -468,7 +470,7 @@
 }
 TEST(Notes, RefusalsToldByOthersHoldAttemptsBackForAWhile) {
   auto s = plain();
-  s.relays = 300, s.peers = true;
+  s.relay_count = 300, s.gossip = true;
   std::size_t told_sends = 0, quiet_sends = 0;
   int back = 0;
   for (std::uint64_t seed = 1; seed <= 20; seed++) {
@@ -480,12 +482,12 @@
       for (int d = 2; d < 22; d++) {  // this relay met refusals that came again, elsewhere
         r.arrive(kSafe, d);
         for (int i = 0; i < 10; i++) {
-          for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::full);
+          for (const auto& sent : std::vector<Sent>(r.out)) r.end(sent.id, Outcome::rejected);
           r.run_to(r.now + 200 * kMs);
         }
       }
       for (int i = 0; i < 6 && told; i++) {
-        r.round({event::PeerNote{7, "1ra"}});
+        r.round({event::GossipReceived{7, "1ra"}});
         r.run_to(r.now + 1 * kS);
       }
       const auto id = r.arrive(kSafe, 1);
@@ -502,11 +504,11 @@
 TEST(Notes, AreSentOnRefusalsOnlyWhereAllowedAndNotMoreThanOneAWhile) {
   for (const bool peers : {false, true}) {
     auto s = plain();
-    s.relays = 300, s.peers = peers;
+    s.relay_count = 300, s.gossip = peers;
     Relay r(s);
     r.list({{.id = "a", .destination = 1}});
     for (int i = 0; i < 12; i++) {
-      r.live(2 * kS, 5, kSafe, 1, [](const Sent&) { return std::optional(Outcome::full); });
+      r.live(2 * kS, 5, kSafe, 1, [](const Sent&) { return std::optional(Outcome::rejected); });
       r.live(8 * kS, 1, kSafe, 1, serve);
     }
     EXPECT_EQ(r.notes.size() >= 2, peers);
@@ -518,44 +520,45 @@
 }
 TEST(Notes, ThatMakeNoSenseAreIgnored) {
   auto s = plain();
-  s.peers = true;
+  s.gossip = true;
   Relay r(s), same(s);
   for (auto* one : {&r, &same}) one->list({{.id = "a", .destination = 1}});
   for (const std::string body : {"", "1", "1r", "2ra", "1rnowhere", "1qa", "ra"})
-    r.round({event::PeerNote{99, body}});
-  r.round({event::PeerNote{-3, std::string(4000, '\xff')}, event::PeerNote{0, std::string("1ra\0", 4)}});
+    r.round({event::GossipReceived{99, body}});
+  r.round({event::GossipReceived{-3, std::string(4000, '\xff')},
+           event::GossipReceived{0, std::string("1ra\0", 4)}});
   for (auto* one : {&r, &same}) one->live(5 * kS, 10, kSafe, 1, serve);
   ASSERT_EQ(r.sent.size(), same.sent.size());
   for (std::size_t i = 0; i < r.sent.size(); i++) EXPECT_EQ(r.sent[i].at, same.sent[i].at);
 }
 TEST(Worth, TheDearerMessageGoesFirst) {
   auto s = plain();
-  s.slots = 1;
+  s.max_calls_in_flight = 1;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   const auto first = r.arrive(kSafe);
   const auto cheap = r.arrive(kSafe), dear = r.arrive(kUnsafe);
-  r.end(first, Outcome::served);
+  r.end(first, Outcome::succeeded);
   EXPECT_EQ(r.sends_of(dear), 1);
   EXPECT_EQ(r.sends_of(cheap), 0);
 }
 // Two that can't both be served in time: the fresh one still can, of the other little is left to win.
 TEST(Worth, AFreshMessageGoesBeforeAnAlmostWorthlessOne) {
   auto s = plain();
-  s.slots = 1;
+  s.max_calls_in_flight = 1;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   const auto first = r.arrive(kUnsafe), late = r.arrive(kSafe);
   r.run_to(r.now + 4 * kS);
   const auto fresh = r.arrive(kSafe);
-  r.end(first, Outcome::served);
+  r.end(first, Outcome::succeeded);
   EXPECT_EQ(r.sends_of(fresh), 1);
   EXPECT_EQ(r.sends_of(late), 0);
 }
 TEST(Worth, AFullBufferHandsBackTheLeast) {
   auto s = plain();
-  s.open_max = 10;
-  s.slots = 1;
+  s.max_open_messages = 10;
+  s.max_calls_in_flight = 1;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   std::vector<MessageId> dear;
@@ -574,23 +577,23 @@
 }
 TEST(Connections, ThoseHardlyUsedAgainAreClosed) {
   auto s = plain();
-  s.connection_idle = 5 * kS, s.relays = 50;
+  s.connection_idle_timeout = 5 * kS, s.relay_count = 50;
   Relay r(s);
   r.list({{.id = "rare", .destination = 1}, {.id = "busy", .destination = 2}});
   r.live(30 * kS, 5, kSafe, 2, serve);
-  for (int i = 0; i < 10; i++) call(r, Outcome::served, 20 * kS);
+  for (int i = 0; i < 10; i++) call(r, Outcome::succeeded, 20 * kS);
   EXPECT_GE(r.idle_closed["rare"].size(), 5u);  // once its gaps are known
   EXPECT_EQ(r.idle_closed["busy"].size(), 0u);
 }
 TEST(Connections, AreKeptForTheNextCallUntilOneFails) {
   auto s = plain();
-  s.connection_idle = 5 * kS, s.relays = 100;
+  s.connection_idle_timeout = 5 * kS, s.relay_count = 100;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
-  for (int i = 0; i < 20; i++) call(r, Outcome::served, 4 * kS);
+  for (int i = 0; i < 20; i++) call(r, Outcome::succeeded, 4 * kS);
   EXPECT_EQ(r.idle_closed["a"].size(), 0u);
   call(r, Outcome::connect_failed, 4 * kS);
-  for (int i = 0; i < 4; i++) call(r, Outcome::served, 4 * kS);
+  for (int i = 0; i < 4; i++) call(r, Outcome::succeeded, 4 * kS);
   EXPECT_GE(r.idle_closed["a"].size(), 2u);
 }
 
@@ -599,7 +602,7 @@
   Relay first;
   const Endpoint a{.id = "a", .destination = 1}, b{.id = "b", .destination = 2};
   first.list({a, b});
-  first.end(first.arrive(kSafe, 1), Outcome::full, 900 * kMs);
+  first.end(first.arrive(kSafe, 1), Outcome::rejected, 900 * kMs);
   for (int i = 0; i < 6; i++) {
     const auto id = first.arrive(kSafe, 2);
     if (first.sends_of(id) > 0) first.end(id, Outcome::connect_failed);
@@ -608,7 +611,7 @@
   Relay next;
   next.now = first.now;
   next.list({a, b});
-  next.round({event::Recalled{first.learnt()}});
+  next.round({event::LearnedStateRestored{first.learnt()}});
   EXPECT_EQ(next.learnt(), first.learnt());
   EXPECT_EQ(next.avoided(), 1u);
   const auto held = next.arrive(kSafe, 1);
@@ -621,66 +624,67 @@
   const std::string before = other.learnt();
   for (const char* odd :
        {"", "learnt-0\nrelay 1 2", "learnt-1\nendpoint a 1 2\nendpoint x 1\nrelay x", "learnt-1"})
-    other.round({event::Recalled{odd}});
+    other.round({event::LearnedStateRestored{odd}});
   EXPECT_EQ(other.learnt(), before);
 }
 
 // A call that an earlier life left out holds its message and its slot until its end is told.
 TEST(Learnt, ACallLeftOutIsStillOut) {
   Settings s = plain();
-  s.slots = 1;
+  s.max_calls_in_flight = 1;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
-  event::Recovered one;
+  event::MessageRecovered one;
   one.message.id = 900, one.message.destination = 1, one.message.message_class = kUnsafe;
-  one.message.time_left = 10 * kS;
-  one.attempts = 1;
-  one.out = event::CallOut{"a", 7, 0, r.now - kS};
-  event::Recovered gone = one;
-  gone.message.id = 901, gone.out->endpoint = "no longer listed", gone.out->call = 8;
+  one.message.time_to_deadline = 10 * kS;
+  one.attempts_made = 1;
+  one.in_flight = event::CallInFlight{"a", 7, 0, r.now - kS};
+  event::MessageRecovered gone = one;
+  gone.message.id = 901, gone.in_flight->endpoint = "no longer listed", gone.in_flight->call_id = 8;
   r.round({one, gone});
   const auto waiting = r.arrive(kSafe);
   EXPECT_EQ(r.sends_of(waiting) + r.sends_of(900) + r.sends_of(901), 0);
   EXPECT_TRUE(r.failed.empty());
   for (const auto& from : {one, gone}) {
     event::AttemptEnded e;
-    e.id = from.message.id, e.attempt = 0, e.endpoint = from.out->endpoint, e.outcome = Outcome::served;
-    e.closed = true;
+    e.id = from.message.id, e.attempt = 0, e.endpoint = from.in_flight->endpoint,
+    e.outcome = Outcome::succeeded;
+    e.message_settled = true;
     r.round({e});
   }
   EXPECT_EQ(r.sends_of(waiting), 1);
 }
 
 // Like one that drains, whatever the list says; and cold when it returns, however long that took.
-TEST(Suspended, GetsNothingAndReturnsCold) {
+TEST(EndpointSuspension, GetsNothingAndReturnsCold) {
   Relay r;
   const Endpoint a{.id = "a", .destination = 1}, b{.id = "b", .destination = 1};
   r.list({a, b});
-  const auto served = [](const Sent&) { return std::optional(Outcome::served); };
+  const auto served = [](const Sent&) { return std::optional(Outcome::succeeded); };
   r.live(10 * kS, 30, kSafe, 1, served);
   const Time out = r.now;
   EXPECT_GT(r.sends_between(out - 10 * kS, out, "a"), 100);
-  r.round({event::Suspended{"a", true}});
+  r.round({event::EndpointSuspension{"a", true}});
   r.live(2 * kS, 30, kSafe, 1, served);
   r.list({b});
   r.live(10 * kS, 30, kSafe, 1, served);  // it leaves the list, and comes back
   r.list({a, b});
-  r.round({event::Suspended{"a", true}});
+  r.round({event::EndpointSuspension{"a", true}});
   r.live(2 * kS, 30, kSafe, 1, served);
   EXPECT_EQ(r.sends_between(out, r.now + 1, "a"), 0);
   const Time back = r.now;
-  r.round({event::Suspended{"a", false}});
-  r.round({event::Suspended{"b", true}});  // all would go there
+  r.round({event::EndpointSuspension{"a", false}});
+  r.round({event::EndpointSuspension{"b", true}});  // all would go there
   r.live(1500 * kMs, 30, kSafe, 1, served);
   const int cold = r.sends_between(back, r.now, "a");
   EXPECT_GT(cold, 0);
   EXPECT_LT(cold, 20);
 }
 
-TEST(Suspended, AnUnknownOneOrARepeatChangesNothing) {
+TEST(EndpointSuspension, AnUnknownOneOrARepeatChangesNothing) {
   Relay r;
   r.list({{.id = "a", .destination = 1}});
-  r.round({event::Suspended{"a", false}, event::Suspended{"x", false}});
+  r.round({event::EndpointSuspension{"a", false}, event::EndpointSuspension{"x", false}});
   for (int i = 0; i < 3; i++) EXPECT_EQ(r.sends_of(r.arrive(kSafe)), 1);
 }
 
@@ -688,18 +692,18 @@
 // meanwhile.
 TEST(List, ManyRelaysAskOneAfterTheOther) {
   Settings set = plain();
-  set.relays = 48;
-  set.subscribe = true;
+  set.relay_count = 48;
+  set.subscribes_to_list = true;
   std::vector<Time> first, again;
   for (std::uint64_t seed = 1; seed <= 48; seed++) {
     Relay r(set, seed);
-    r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+    r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
     EXPECT_EQ(r.sends_of(r.arrive(kSafe)), 1);
     r.run_to(6 * kS);
     ASSERT_EQ(r.asked.size(), 1u);
     first.push_back(r.asked[0]);
     r.list({{.id = "a", .destination = 1}});
-    r.round({event::ListFailed{}});
+    r.round({event::EndpointListLost{}});
     r.run_to(12 * kS);
     ASSERT_EQ(r.asked.size(), 2u);
     again.push_back(r.asked[1]);
@@ -713,13 +717,13 @@
 
 TEST(List, IsAskedForAgainWithBackoff) {
   auto s = plain();
-  s.subscribe = true;
+  s.subscribes_to_list = true;
   Relay r(s);
-  r.round({event::ListWhole{{}, true}});
+  r.round({event::EndpointListSnapshot{{}, true}});
   ASSERT_EQ(r.asked.size(), 1u);
   for (int i = 0; i < 6; i++) {
     const auto n = r.asked.size();
-    r.round({event::ListFailed{}});
+    r.round({event::EndpointListLost{}});
     r.run_to(r.now + 6 * kS);
     EXPECT_EQ(r.asked.size(), n + 1);
   }
@@ -731,17 +735,17 @@
 }
 TEST(List, TheOldOneServesWhileItIsOutOfReach) {
   auto s = plain();
-  s.subscribe = true;
+  s.subscribes_to_list = true;
   Relay r(s);
-  r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
-  r.round({event::ListFailed{}});
+  r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
+  r.round({event::EndpointListLost{}});
   const auto id = r.arrive(kSafe);
   EXPECT_EQ(r.sends_of(id), 1);
 }
 
 TEST(Memory, NothingIsKeptForEver) {
   auto s = plain();
-  s.classes[kSafe].ordered = true, s.settle_after_doubt = 700 * kMs;
+  s.classes[kSafe].ordered = true, s.order_key_quiet_period = 700 * kMs;
   Relay r(s);
   std::size_t most = 0;
   for (int i = 1; i <= 5000; i++) {  // each with an endpoint, a destination and a key of its own
@@ -750,9 +754,9 @@
     const auto id = r.arrive(kSafe, i, "key" + std::to_string(i));
     r.run_to(r.now + 50 * kMs);
     if (r.sends_of(id) == 1)
-      r.end(id, i % 3 == 0 ? Outcome::timeout : i % 7 == 0 ? Outcome::connect_failed : Outcome::served);
+      r.end(id, i % 3 == 0 ? Outcome::timeout : i % 7 == 0 ? Outcome::connect_failed : Outcome::succeeded);
     r.arrive(kSafe, -i, "other" + std::to_string(i), 100 * kMs);  // nothing is listed there
-    e.listing = Listing::gone;
+    e.status = EndpointStatus::removed;
     r.change(e);
     r.run_to(r.now + 50 * kMs);
     most = std::max(most, r.kept());
@@ -769,9 +773,9 @@
   r.list({{.id = "b", .destination = 2}});  // "a" is gone with three calls out
   r.run_to(r.now + 1 * kS);
   r.list({{.id = "b", .destination = 2}});
-  r.end(served, Outcome::served);
+  r.end(served, Outcome::succeeded);
   r.end(lost, Outcome::reset);
-  r.end(refused, Outcome::full);
+  r.end(refused, Outcome::rejected);
   EXPECT_EQ(r.failed.count(lost), 1u);
   r.run_to(r.now + 20 * kS);
   EXPECT_EQ(r.failed.count(refused) + r.refused.count(refused), 1u);
@@ -784,13 +788,13 @@
 TEST(Odd, EventsForWhatIsOverOrUnknownAreIgnored) {
   Relay r;
   r.round({});
-  r.round({event::Withdrawn{77}, event::TimerDue{5}, event::AttemptEnded{}, event::ProbeEnded{},
-           event::PeerNote{}});
+  r.round({event::ClientCancelled{77}, event::TimerExpired{5}, event::AttemptEnded{},
+           event::HealthCheckEnded{}, event::GossipReceived{}});
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kSafe);
-  r.change({.id = "a", .destination = 1, .listing = Listing::gone});  // gone while a call is out
-  r.end(id, Outcome::served);
-  r.round({event::Withdrawn{id}});
+  r.change({.id = "a", .destination = 1, .status = EndpointStatus::removed});  // gone while a call is out
+  r.end(id, Outcome::succeeded);
+  r.round({event::ClientCancelled{id}});
   EXPECT_TRUE(r.failed.empty());
   const auto none = r.arrive(kSafe, 1, "", 1);  // no time left
   r.run_to(r.now + 100 * kMs);
@@ -808,8 +812,9 @@
     return std::string();
   };
   EXPECT_EQ(complaint([](Settings&) {}), "");
-  EXPECT_NE(complaint([](Settings& s) { s.slots = 0; }).find("slots"), std::string::npos);
-  EXPECT_NE(complaint([](Settings& s) { s.classes[0].aim = -1; }).find("aim"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.max_calls_in_flight = 0; }).find("slots"), std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes[0].latency_objective = -1; }).find("aim"),
+            std::string::npos);
   EXPECT_NE(complaint([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
   EXPECT_NE(complaint([](Settings& s) { s.drain_grace = -1; }).find("drain_grace"), std::string::npos);
 }
@@ -819,7 +824,7 @@
     r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
     int n = 0;
     r.live(10 * kS, 15, kSafe, 1, [&](const Sent&) -> std::optional<Outcome> {
-      return ++n % 4 == 0 ? Outcome::error : n % 7 == 0 ? Outcome::full : Outcome::served;
+      return ++n % 4 == 0 ? Outcome::error : n % 7 == 0 ? Outcome::rejected : Outcome::succeeded;
     });
     std::vector<std::pair<MessageId, Time>> sends;
     for (const auto& s : r.sent) sends.emplace_back(s.id, s.at);
@@ -830,11 +835,13 @@
 }
 
 // ---- Messages of an earlier life. ----
-event::Recovered recovered(MessageId id, Class c, int attempts, bool may_have_run, Time left = 5 * kS) {
-  event::Recovered r;
-  r.message.id = id, r.message.destination = 1, r.message.message_class = c, r.message.time_left = left;
-  r.attempts = attempts;
-  if (may_have_run) r.may_have_run_zone = 0, r.may_have_run_sent = 0;
+event::MessageRecovered recovered(MessageId id, Class c, int attempts, bool may_have_run,
+                                  Time left = 5 * kS) {
+  event::MessageRecovered r;
+  r.message.id = id, r.message.destination = 1, r.message.message_class = c,
+  r.message.time_to_deadline = left;
+  r.attempts_made = attempts;
+  if (may_have_run) r.possible_execution_zone = 0, r.possible_execution_sent_at = 0;
   return r;
 }
 TEST(Recovery, AnUnsafeMessageThatMayHaveRunFailsAtOnce) {
@@ -866,8 +873,8 @@
   Relay next;
   next.now = first.now;
   next.list({{.id = "a", .destination = 1}});
-  next.round(
-      {event::Recalled{first.learnt()}, recovered(900, kSafe, 1, true), recovered(901, kSafe, 0, false)});
+  next.round({event::LearnedStateRestored{first.learnt()}, recovered(900, kSafe, 1, true),
+              recovered(901, kSafe, 0, false)});
   EXPECT_EQ(next.sends_of(900), 0);
   EXPECT_EQ(next.sends_of(901), 1);
   next.run_to(next.now + 1 * kS);
@@ -891,7 +898,7 @@
   Relay r;
   r.list({{.id = "a", .destination = 1}});
   auto late = recovered(1, kKeyed, 1, true);
-  late.may_have_run_sent = r.now - 6 * kS;  // the key is remembered for 5 s
+  late.possible_execution_sent_at = r.now - 6 * kS;  // the key is remembered for 5 s
   r.round({late, recovered(2, kKeyed, 1, true)});
   EXPECT_EQ(r.failed.count(1), 1u);
   EXPECT_EQ(r.sends_of(1), 0);
@@ -903,7 +910,7 @@
     Relay r;
     r.list({{.id = "a", .destination = 1}});
     auto m = recovered(1, kKeyed, 1, true);
-    m.may_have_run_sent = r.now + left - 5 * kS;  // the key is remembered for 5 s
+    m.possible_execution_sent_at = r.now + left - 5 * kS;  // the key is remembered for 5 s
     r.run_to(r.now + 100 * kMs);
     r.round({m});
     EXPECT_EQ(r.sends_of(1), left > 100 * kMs);
@@ -914,10 +921,10 @@
 // can still be sent is held.
 TEST(Waits, AMessageThatAWaitOutlastsEndsAtOnce) {
   auto s = plain();
-  s.retry_after_max = 3 * kS;
+  s.max_retry_after = 3 * kS;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
-  r.end(r.arrive(kSafe), Outcome::served, 10 * kS);
+  r.end(r.arrive(kSafe), Outcome::succeeded, 10 * kS);
   const auto safe = r.arrive(kSafe);  // 6 s
   EXPECT_EQ(r.refused.count(safe), 1u);
   EXPECT_EQ(r.come_back[safe], 3 * kS);
@@ -934,7 +941,7 @@
   Relay r;
   r.list({{.id = "a", .destination = 1}});
   const auto first = r.arrive(kSafe);
-  r.end(first, Outcome::served, 800 * kMs);
+  r.end(first, Outcome::succeeded, 800 * kMs);
   const auto second = r.arrive(kSafe);
   r.run_to(r.now + 790 * kMs);
   EXPECT_EQ(r.sends_of(second), 0);
@@ -945,7 +952,7 @@
 // ---- Where lists are pushed. ----
 Settings pushed() {
   auto s = plain();
-  s.subscribe = s.pushed = true, s.relays = 300, s.drain_grace = 2 * kS;
+  s.subscribes_to_list = s.list_is_pushed = true, s.relay_count = 300, s.drain_grace = 2 * kS;
   return s;
 }
 
@@ -954,13 +961,14 @@
 TEST(PushedList, IsAskedForAtOnceHoweverManyRelaysThereAre) {
   for (std::uint64_t seed = 1; seed <= 20; seed++) {
     Relay r(pushed(), seed);
-    r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+    r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
     EXPECT_EQ(r.asked.size(), 1u);
     r.list({{.id = "a", .destination = 1}});
-    for (const auto why : {event::Loss::failed, event::Loss::silent, event::Loss::moved}) {
+    for (const auto why : {event::ListLossReason::failed, event::ListLossReason::timed_out,
+                           event::ListLossReason::relocated}) {
       r.run_to(r.now + 10 * kS);
       const auto n = r.asked.size();
-      r.round({event::ListFailed{why}});
+      r.round({event::EndpointListLost{why}});
       EXPECT_EQ(r.asked.size(), n + 1);
       r.list({{.id = "a", .destination = 1}});
     }
@@ -971,19 +979,19 @@
 // an agent whose every list can't be read is not asked in each round.
 TEST(PushedList, IsAskedForOftenThroughAnOutage) {
   Relay r(pushed());
-  r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+  r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
   r.list({{.id = "a", .destination = 1}});
   for (const Time until = r.now + 60 * kS; r.now < until;) {
     const auto n = r.asked.size();
     const Time failed = r.now;
-    r.round({event::ListFailed{}});
+    r.round({event::EndpointListLost{}});
     r.run_to(r.now + 500 * kMs);
     ASSERT_EQ(r.asked.size(), n + 1);
     EXPECT_LE(r.asked.back(), failed + 400 * kMs);
   }
   for (int i = 0; i < 100; i++) {
     r.list({{.id = "a", .destination = 1}});
-    r.round({event::ListFailed{}});
+    r.round({event::EndpointListLost{}});
     r.run_to(r.now + 5 * kMs);
   }
   EXPECT_LT(r.asked.size(), 200u);
@@ -992,12 +1000,13 @@
 TEST(PushedList, NothingIsSentByAnOldOneUntilItHasComeOrStaysOut) {
   for (const bool comes : {true, false}) {
     Relay r(pushed());
-    r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+    r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
     const auto id = r.arrive(kSafe);
     r.run_to(r.now + 100 * kMs);
     EXPECT_TRUE(r.sent.empty());
     if (comes)
-      r.list({{.id = "a", .destination = 1, .listing = Listing::draining}, {.id = "b", .destination = 1}});
+      r.list(
+          {{.id = "a", .destination = 1, .status = EndpointStatus::draining}, {.id = "b", .destination = 1}});
     else
       r.run_to(r.now + 500 * kMs);
     ASSERT_EQ(r.sends_of(id), 1);
@@ -1009,16 +1018,16 @@
 // that after silence: no spread may be longer, however many relays there are.
 TEST(AskedList, IsNeverOlderThanWhatCountsAsTold) {
   auto s = pushed();
-  s.pushed = false;
+  s.list_is_pushed = false;
   for (std::uint64_t seed = 1; seed <= 100; seed++) {
     Relay r(s, seed);
-    r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+    r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
     r.run_to(r.now + 6 * kS);
     ASSERT_EQ(r.asked.size(), 1u);
     r.list({{.id = "a", .destination = 1}});
-    for (const auto why : {event::Loss::silent, event::Loss::moved}) {
+    for (const auto why : {event::ListLossReason::timed_out, event::ListLossReason::relocated}) {
       const auto n = r.asked.size();
-      r.round({event::ListFailed{why}});
+      r.round({event::EndpointListLost{why}});
       r.run_to(r.now + 2 * kS);
       ASSERT_EQ(r.asked.size(), n + 1);
       r.list({{.id = "a", .destination = 1}});
@@ -1032,30 +1041,32 @@
 TEST(AskedList, IsAskedForInTimeAfterACallThatNobodyAnswered) {
   for (const int relays : {1, 8, 9, 48, 300, 1300}) {
     auto s = pushed();
-    s.pushed = false, s.relays = relays;
+    s.list_is_pushed = false, s.relay_count = relays;
     for (std::uint64_t seed = 1; seed <= 40; seed++) {
       Relay r(s, seed);
       const auto next = [&r](std::size_t n) {
         while (r.asked.size() == n && r.now < 1000 * kS) r.run_to(r.now + 20 * kMs);
         return r.asked.back();
       };
-      const auto lose = [&](event::Loss why) {
+      const auto lose = [&](event::ListLossReason why) {
         const auto n = r.asked.size();
-        r.round({event::ListFailed{why}});
+        r.round({event::EndpointListLost{why}});
         return next(n);
       };
-      r.round({event::ListWhole{{{.id = "a", .destination = 1}}, true}});
+      r.round({event::EndpointListSnapshot{{{.id = "a", .destination = 1}}, true}});
       for (Time began = next(0), calls = 0; calls < 12; calls++) {
-        r.run_to(began + s.ask_patience);
-        const Time again = lose(event::Loss::failed);
+        r.run_to(began + s.poll_timeout);
+        const Time again = lose(event::ListLossReason::failed);
         ASSERT_LE(again, began + 5 * kS) << relays << " relays, call " << calls;
         began = again;
       }
-      for (const auto why : {event::Loss::failed, event::Loss::silent, event::Loss::moved}) {
+      for (const auto why : {event::ListLossReason::failed, event::ListLossReason::timed_out,
+                             event::ListLossReason::relocated}) {
         r.list({{.id = "a", .destination = 1}});
         r.run_to(r.now + 20 * kS);
-        const Time lost = r.now, silent_for = why == event::Loss::silent ? s.watch_patience : 0;
-        ASSERT_LE(lose(why) + silent_for, lost + (why == event::Loss::moved ? 3 : 5) * kS) << relays;
+        const Time lost = r.now, silent_for = why == event::ListLossReason::timed_out ? s.watch_timeout : 0;
+        ASSERT_LE(lose(why) + silent_for, lost + (why == event::ListLossReason::relocated ? 3 : 5) * kS)
+            << relays;
       }
     }
   }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -2,7 +2,7 @@
 #include <cmath>
 #include <random>
 
-#include "harness.hpp"
+#include "dispatcher_harness.hpp"
 
 namespace dispatch::testing {
 namespace {
@@ -11,7 +11,7 @@
 
 Settings of_many() {
   auto s = plain();
-  s.relays = kRelays;
+  s.relay_count = kRelays;
   s.weights = WeightKind::rough;
   return s;
 }
@@ -27,11 +27,11 @@
     return free;
   }
   // As of a while ago, as the answers tell it.
-  Report report(Time now) {
+  LoadReport report(Time now) {
     refill(now);
     if (now - told_at_ >= 400 * kMs) told_ = next_, next_ = std::max(0.0, room_ / depth_), told_at_ = now;
-    Report r;
-    r.limit_left = told_, r.limit_rate = rate_;
+    LoadReport r;
+    r.remaining_fraction = told_, r.rate_limit = rate_;
     return r;
   }
 
@@ -55,9 +55,9 @@
     for (int k = 0; k < endpoints; k++)
       all.push_back({.id = std::string(1, static_cast<char>('a' + k)), .destination = 1, .weight = 40});
     std::vector<double> parts;
-    for (int i = 0; i < settings.relays; i++) {
+    for (int i = 0; i < settings.relay_count; i++) {
       auto s = settings;
-      s.rank = i;
+      s.relay_index = i;
       relays.emplace_back(s, 1000 * seed + static_cast<std::uint64_t>(i) + 1);
       relays.back().list(all);
       parts.push_back(uneven && i % 4 == 0 ? 4 : 1);
@@ -99,8 +99,8 @@
   const auto decide = [&](Relay& r, const Sent& s) {
     const bool taken = limit.take(fleet.now);
     (taken ? served : refused)++;
-    auto e = std::get<event::AttemptEnded>(r.ending(s.id, taken ? Outcome::served : Outcome::full));
-    e.report = limit.report(fleet.now);
+    auto e = std::get<event::AttemptEnded>(r.ending(s.id, taken ? Outcome::succeeded : Outcome::rejected));
+    e.load_report = limit.report(fleet.now);
     r.round({e});
   };
   fleet.live(5 * kS, 28, decide);
@@ -116,7 +116,8 @@
   constexpr double kLimit = 40, kCapacity = 1.2 * kLimit, kColdFrom = 0.19;
   constexpr Time kOut = 6 * kS, kBack = 11 * kS, kCold = 10 * kS, kWindow = 1500 * kMs;
   auto settings = of_many();
-  settings.cold_from = kColdFrom, settings.cold = kCold, settings.overload_for = kWindow;
+  settings.slow_start_capacity = kColdFrom, settings.slow_start_duration = kCold,
+  settings.overload_duration = kWindow;
   Fleet fleet(settings);
   const auto capacity = [&](Time t) {
     const double warm = static_cast<double>(t - kBack) / kCold;
@@ -138,9 +139,9 @@
       if ((taken = room >= 1)) room -= 1, served++;
     }
     auto e = std::get<event::AttemptEnded>(r.ending(s.id, out     ? Outcome::connect_failed
-                                                          : taken ? Outcome::served
-                                                                  : Outcome::full));
-    if (!out) limit.take(fleet.now), e.report = limit.report(fleet.now);
+                                                          : taken ? Outcome::succeeded
+                                                                  : Outcome::rejected));
+    if (!out) limit.take(fleet.now), e.load_report = limit.report(fleet.now);
     r.round({e});
   });
   for (std::size_t i = 0, first = 0; i < pushes.size(); i++) {
@@ -164,20 +165,20 @@
 };
 double most_pushed(const Outage& o) {
   auto set = of_many();
-  set.relays = o.relays, set.weights = WeightKind::none;
-  set.cold_from = 0.2, set.cold = 9 * kS, set.overload_for = 1500 * kMs;
+  set.relay_count = o.relays, set.weights = WeightKind::none;
+  set.slow_start_capacity = 0.2, set.slow_start_duration = 9 * kS, set.overload_duration = 1500 * kMs;
   const Time begins = 6 * kS, back = begins + o.lasts;
   const auto capacity = [&](Time t) {
-    const double warm = static_cast<double>(t - back) / static_cast<double>(set.cold);
-    return 1.2 * o.limit * std::min(1.0, set.cold_from + (1 - set.cold_from) * warm);
+    const double warm = static_cast<double>(t - back) / static_cast<double>(set.slow_start_duration);
+    return 1.2 * o.limit * std::min(1.0, set.slow_start_capacity + (1 - set.slow_start_capacity) * warm);
   };
   Fleet fleet(set, o.seed, o.endpoints, true);
   std::map<const Relay*, Time> told;  // of the outage, first
-  fleet.live(back + set.cold - fleet.now, 1.1 * o.limit, [&](Relay& r, const Sent& s) {
+  fleet.live(back + set.slow_start_duration - fleet.now, 1.1 * o.limit, [&](Relay& r, const Sent& s) {
     const bool out = s.at >= begins && s.at < back;
     if (out && o.symptom == Outcome::timeout && fleet.now - s.at < s.timeout) return;
     if (out) told.emplace(&r, fleet.now);
-    r.end(s.id, out ? o.symptom : Outcome::served);
+    r.end(s.id, out ? o.symptom : Outcome::succeeded);
   });
   std::vector<std::pair<Time, bool>> calls;  // and whether its relay had been told by then
   for (const auto& r : fleet.relays)
@@ -187,9 +188,9 @@
   double most = 0, knew = 0;
   for (std::size_t i = 0, first = 0; i < calls.size(); i++) {
     knew += calls[i].second;
-    for (; calls[first].first <= calls[i].first - set.overload_for; first++) knew -= calls[first].second;
+    for (; calls[first].first <= calls[i].first - set.overload_duration; first++) knew -= calls[first].second;
     const double n =
-        set.fall_multiple * capacity(calls[i].first) * static_cast<double>(set.overload_for) / kS;
+        set.overload_multiple * capacity(calls[i].first) * static_cast<double>(set.overload_duration) / kS;
     const auto all = static_cast<double>(i - first + 1);
     if (knew > all * 2 / 3) most = std::max(most, all / (n + 2 * std::sqrt(n) + 2));
   }
@@ -208,7 +209,7 @@
         for (unsigned seed = 2; seed <= 4; seed++) {
           all.push_back({relays, 1, limit, lasts, Outcome::timeout, seed});
           for (const int endpoints : {1, 3})
-            for (const auto symptom : {Outcome::error, Outcome::connect_failed, Outcome::full})
+            for (const auto symptom : {Outcome::error, Outcome::connect_failed, Outcome::rejected})
               all.push_back({relays, endpoints, limit, lasts, symptom, seed});
         }
   for (const auto& o : all) expect_in_budget(o);
@@ -227,7 +228,7 @@
   for (auto& r : fleet.relays)
     for (int i = 0; i < kEach; i++) r.arrive(kSafe);
   const Time from = fleet.now;
-  fleet.live(3 * kS, 0, [&](Relay& r, const Sent& s) { r.end(s.id, Outcome::served); });
+  fleet.live(3 * kS, 0, [&](Relay& r, const Sent& s) { r.end(s.id, Outcome::succeeded); });
   EXPECT_LT(fleet.sends_between(from, from + 500 * kMs), kRelays / 2);
   EXPECT_GT(fleet.sends_between(from, fleet.now), kRelays);  // and goes on by the list's weight, 40 a second
 }
@@ -238,9 +239,9 @@
   const Time end = 5 * kS;
   fleet.live(8 * kS, 60, [&](Relay& r, const Sent& s) {
     if (fleet.now < end)
-      r.end(s.id, Outcome::full, end - fleet.now);
+      r.end(s.id, Outcome::rejected, end - fleet.now);
     else
-      r.end(s.id, Outcome::served);
+      r.end(s.id, Outcome::succeeded);
   });
   EXPECT_LT(fleet.sends_between(end, end + 500 * kMs), 15);
   EXPECT_GT(fleet.sends_between(end, end + 3 * kS), 30);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -41,21 +41,21 @@
     (folder + "/state/handover").copy(a.sun_path, sizeof a.sun_path - 1);
     return a;
   }
-  Channel ask() {
-    Descriptor socket(::socket(AF_UNIX, SOCK_STREAM, 0));
+  HandoverChannel ask() {
+    FileDescriptor socket(::socket(AF_UNIX, SOCK_STREAM, 0));
     const auto to = address();
     wait_for([&] { return ::connect(socket.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0; },
              "the owner can be asked");
-    Channel channel(std::move(socket));
+    HandoverChannel channel(std::move(socket));
     EXPECT_TRUE(channel.send(kHello));
     return channel;
   }
   // Takes all parts, with their descriptors.
-  static std::vector<Descriptor> parts(Channel& channel) {
-    std::vector<Descriptor> all;
+  static std::vector<FileDescriptor> parts(HandoverChannel& channel) {
+    std::vector<FileDescriptor> all;
     std::string payload;
     for (bool more = true; more && payload != "E";) {
-      Descriptor fd;
+      FileDescriptor fd;
       more = channel.receive(payload, fd);
       EXPECT_TRUE(more);
       if (fd) all.push_back(std::move(fd));
@@ -70,76 +70,77 @@
 TEST(Handover, AnEstateComesAsItWas) {
   const auto base = std::filesystem::temp_directory_path() / ("handover-test-" + std::to_string(::getpid()));
   std::filesystem::create_directories(base);
-  Descriptor lock(::open((base / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+  FileDescriptor lock(::open((base / "lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
   ASSERT_EQ(::flock(lock.get(), LOCK_EX | LOCK_NB), 0);
   int pair[2];
   ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, pair), 0);
-  const Descriptor near(pair[0]), far(pair[1]);
+  const FileDescriptor near(pair[0]), far(pair[1]);
 
-  Estate given;
-  given.list.index = 41, given.list_told = given.paused = true, given.next_number = 1234;
-  Member m;
+  HandoverState given;
+  given.endpoint_list.version = 41, given.list_received = given.paused = true, given.next_number = 1234;
+  ListedEndpoint m;
   m.endpoint.id = "s-1", m.endpoint.destination = 7, m.endpoint.zone = 1, m.endpoint.kind = 2;
-  m.endpoint.listing = dispatch::Listing::draining, m.endpoint.weight = 2.5, m.endpoint.since = -9;
+  m.endpoint.status = dispatch::EndpointStatus::draining, m.endpoint.weight = 2.5, m.endpoint.added_at = -9;
   m.address = read_address("127.0.0.1:8081", "");
-  given.list.members = {m};
-  given.learnt = std::string(200'000, 'x') + "\n";
-  given.ever_listed = {"s-0", "s-1"}, given.destinations = {7, -8}, given.recent = {{55, "m5"}, {66, "m6"}};
+  given.endpoint_list.entries = {m};
+  given.learned_state = std::string(200'000, 'x') + "\n";
+  given.ever_listed = {"s-0", "s-1"}, given.destinations = {7, -8},
+  given.completed_ids = {{55, "m5"}, {66, "m6"}};
   given.listener = near.get();
   given.clients = {{near.get(), true, 77}, {near.get(), false, 78}};
-  OpenCall call;
+  InFlightCall call;
   call.socket = near.get(), call.endpoint = "s-1", call.address = m.address;
-  call.sent = 11, call.answer_due = 12, call.seen = std::string("HTTP\0", 5);
+  call.sent_at = 11, call.response_due = 12, call.response_bytes = std::string("HTTP\0", 5);
   call.messages = {{900, 3, 44, "m900", ""}, {901, 0, 45, "m901", ""}};
   call.given_up = {std::nullopt, Outcome::cancelled};
   given.calls = {call};
 
-  Possession got;
+  StartupOwnership got;
   {
     net::io_context io;
     bool over = false;
-    Successors successors(io, base.string(), [&](Channel channel) {
+    HandoverListener successors(io, base.string(), [&](HandoverChannel channel) {
       EXPECT_TRUE(hand_over(channel, given, lock.get()));
       over = true;
     });
-    std::thread other([&] { got = take_possession(base.string()); });
+    std::thread other([&] { got = acquire_ownership(base.string()); });
     while (!over) io.run_one();
     other.join();
   }
   EXPECT_TRUE(static_cast<bool>(got.lock));
-  ASSERT_TRUE(got.estate);
-  const Estate& e = *got.estate;
-  EXPECT_EQ(e.list.index, 41);
-  EXPECT_TRUE(e.list_told && e.paused);
+  ASSERT_TRUE(got.inherited);
+  const HandoverState& e = *got.inherited;
+  EXPECT_EQ(e.endpoint_list.version, 41);
+  EXPECT_TRUE(e.list_received && e.paused);
   EXPECT_EQ(e.next_number, 1234u);
-  ASSERT_EQ(e.list.members.size(), 1u);
-  const auto& x = e.list.members[0].endpoint;
+  ASSERT_EQ(e.endpoint_list.entries.size(), 1u);
+  const auto& x = e.endpoint_list.entries[0].endpoint;
   EXPECT_EQ(x.id, "s-1");
   EXPECT_EQ(x.destination, 7);
   EXPECT_EQ(x.zone, 1);
   EXPECT_EQ(x.kind, 2);
-  EXPECT_EQ(x.listing, dispatch::Listing::draining);
+  EXPECT_EQ(x.status, dispatch::EndpointStatus::draining);
   EXPECT_EQ(x.weight, 2.5);
-  EXPECT_EQ(x.since, -9);
-  EXPECT_EQ(e.list.members[0].address, m.address);
-  EXPECT_EQ(e.learnt, given.learnt);
+  EXPECT_EQ(x.added_at, -9);
+  EXPECT_EQ(e.endpoint_list.entries[0].address, m.address);
+  EXPECT_EQ(e.learned_state, given.learned_state);
   EXPECT_EQ(e.ever_listed, given.ever_listed);
   EXPECT_EQ(e.destinations, given.destinations);
-  EXPECT_EQ(e.recent, given.recent);
+  EXPECT_EQ(e.completed_ids, given.completed_ids);
   ASSERT_EQ(e.clients.size(), 2u);
-  EXPECT_TRUE(e.clients[0].used && !e.clients[1].used);
-  EXPECT_EQ(e.clients[1].since, 78);
+  EXPECT_TRUE(e.clients[0].served_before && !e.clients[1].served_before);
+  EXPECT_EQ(e.clients[1].idle_since, 78);
   ASSERT_EQ(e.calls.size(), 1u);
   EXPECT_EQ(e.calls[0].endpoint, "s-1");
   EXPECT_EQ(e.calls[0].address, m.address);
-  EXPECT_EQ(e.calls[0].sent, 11);
-  EXPECT_EQ(e.calls[0].answer_due, 12);
-  EXPECT_EQ(e.calls[0].seen, call.seen);
+  EXPECT_EQ(e.calls[0].sent_at, 11);
+  EXPECT_EQ(e.calls[0].response_due, 12);
+  EXPECT_EQ(e.calls[0].response_bytes, call.response_bytes);
   ASSERT_EQ(e.calls[0].messages.size(), 2u);
   EXPECT_EQ(e.calls[0].messages[0].id, 900u);
   EXPECT_EQ(e.calls[0].messages[0].attempt, 3);
   EXPECT_EQ(e.calls[0].messages[1].timeout, 45);
-  EXPECT_EQ(e.calls[0].messages[1].wire_id, "m901");
+  EXPECT_EQ(e.calls[0].messages[1].client_id, "m901");
   EXPECT_EQ(e.calls[0].given_up, call.given_up);
   // Each descriptor is another one of the same socket.
   std::set<int> all{e.listener, e.clients[0].socket, e.clients[1].socket, e.calls[0].socket, near.get()};
@@ -240,7 +241,7 @@
   wait_for([&] { return endpoint.got.size() == 1; }, "a call is out");
   for (int step = 0; step < 4; step++) {
     {
-      Channel channel = ask();
+      HandoverChannel channel = ask();
       if (step >= 1) {
         const auto descriptors = parts(channel);
         EXPECT_GE(descriptors.size(), 4u);  // the lock, the listening socket, the client, the call
@@ -267,17 +268,17 @@
 // Whatever the step at which the owner is killed, the one that asks starts as after any restart.
 TEST_F(HandoverTest, AnOwnerThatIsKilledAtAnyStepLeavesTheFolder) {
   for (int step = 0; step < 4; step++) {
-    Descriptor listening(::socket(AF_UNIX, SOCK_STREAM, 0));
+    FileDescriptor listening(::socket(AF_UNIX, SOCK_STREAM, 0));
     const auto at = address();
     ::unlink(at.sun_path);
     ASSERT_EQ(::bind(listening.get(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
     ASSERT_EQ(::listen(listening.get(), 1), 0);
     {
-      Descriptor lock(::open((folder + "/state/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
+      FileDescriptor lock(::open((folder + "/state/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
       ASSERT_EQ(::flock(lock.get(), LOCK_EX | LOCK_NB), 0);
       members = member("s-1", endpoint.address());
       spawn(config());
-      Channel channel(Descriptor(::accept(listening.get(), nullptr, nullptr)));
+      HandoverChannel channel(FileDescriptor(::accept(listening.get(), nullptr, nullptr)));
       EXPECT_TRUE(channel.receive_word(kHello));
       if (step >= 1) {
         EXPECT_TRUE(channel.send("K", lock.get()));
@@ -288,7 +289,7 @@
       if (step >= 3) {
         EXPECT_TRUE(channel.send("E") && channel.receive_word("ready"));
       }
-      listening = Descriptor();
+      listening = FileDescriptor();
     }
     wait_for([&] { return health() == 200; }, "it is ready");
     EXPECT_EQ(hand_in("m" + std::to_string(step), kSafe), 202u);
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -24,7 +24,7 @@
   static Message message(const std::string& id, std::size_t body = 5) {
     Message m;
     m.id = id, m.message_class = "pay-and-order", m.tenant = "acme";
-    m.destination = 7, m.deadline = 123'456'789, m.repeat = true;
+    m.destination = 7, m.deadline = 123'456'789, m.resubmitted = true;
     m.body = std::string(body, '\0') + "x";
     return m;
   }
@@ -47,30 +47,30 @@
 TEST_F(JournalTest, FindsAgainWhatWasWritten) {
   {
     Journal j(folder, kLimit);
-    j.take(1, message("a")), j.take(2, message("b")), j.take(3, message("c"));
-    j.sent(1, 1000, 2), j.outcome(1, 0, Outcome::full), j.sent(1, 2000, 1);
-    j.ending(2, {true, 500}), j.over(3);
+    j.record_message(1, message("a")), j.record_message(2, message("b")), j.record_message(3, message("c"));
+    j.record_attempt(1, 1000, 2), j.record_outcome(1, 0, Outcome::rejected), j.record_attempt(1, 2000, 1);
+    j.record_final_answer(2, {true, 500}), j.record_completed(3);
     EXPECT_TRUE(j.commit());
   }
   const Journal j(folder, kLimit);
   EXPECT_EQ(j.dropped_bytes(), 0u);
-  ASSERT_EQ(j.held().size(), 2u);
-  const Held& a = j.held().at(1);
+  ASSERT_EQ(j.messages().size(), 2u);
+  const JournaledMessage& a = j.messages().at(1);
   EXPECT_EQ(a.message.id, "a");
   EXPECT_EQ(a.message.message_class, "pay-and-order");
   EXPECT_EQ(a.message.tenant, "acme");
   EXPECT_EQ(a.message.destination, 7);
   EXPECT_EQ(a.message.deadline, 123'456'789);
-  EXPECT_TRUE(a.message.repeat);
+  EXPECT_TRUE(a.message.resubmitted);
   EXPECT_EQ(a.message.body, std::string(5, '\0') + "x");
   ASSERT_EQ(a.attempts.size(), 2u);
-  EXPECT_FALSE(a.attempts[0].may_have_run());
-  EXPECT_TRUE(a.attempts[1].may_have_run());  // no outcome was seen
-  EXPECT_EQ(a.attempts[1].sent, 2000);
+  EXPECT_FALSE(a.attempts[0].may_have_executed());
+  EXPECT_TRUE(a.attempts[1].may_have_executed());  // no outcome was seen
+  EXPECT_EQ(a.attempts[1].sent_at, 2000);
   EXPECT_EQ(a.attempts[1].zone, 1);
-  ASSERT_TRUE(j.held().at(2).ending.has_value());
-  EXPECT_TRUE(j.held().at(2).ending->deferred);
-  EXPECT_EQ(j.held().at(2).ending->again, 500);
+  ASSERT_TRUE(j.messages().at(2).final_answer.has_value());
+  EXPECT_TRUE(j.messages().at(2).final_answer->retryable);
+  EXPECT_EQ(j.messages().at(2).final_answer->retry_after, 500);
 }
 
 // A process may be killed within any write: whole records before the cut count, the torn one never.
@@ -80,7 +80,7 @@
   {
     Journal j(folder, kLimit);
     for (MessageId id = 1; id <= 3; id++) {
-      j.take(id, message(std::to_string(id)));
+      j.record_message(id, message(std::to_string(id)));
       ASSERT_TRUE(j.commit());
       ends.push_back(content().size());
     }
@@ -92,12 +92,12 @@
     for (const auto end : ends) expected += cut >= end;
     {
       Journal j(folder, kLimit);
-      ASSERT_EQ(j.held().size(), expected) << "cut at " << cut;
-      j.take(9, message("new"));
+      ASSERT_EQ(j.messages().size(), expected) << "cut at " << cut;
+      j.record_message(9, message("new"));
       ASSERT_TRUE(j.commit());
     }
     const Journal again(folder, kLimit);
-    ASSERT_EQ(again.held().size(), expected + 1) << "cut at " << cut;
+    ASSERT_EQ(again.messages().size(), expected + 1) << "cut at " << cut;
     ASSERT_EQ(again.dropped_bytes(), 0u);
   }
 }
@@ -106,13 +106,13 @@
 TEST_F(JournalTest, KeysComeWithTheirMessageOrNotAtAll) {
   const auto with_keys = [](const std::string& id) {
     Message m = message(id);
-    m.key = "key-" + id, m.order_key = "about-" + id;
+    m.idempotency_key = "key-" + id, m.order_key = "about-" + id;
     return m;
   };
   std::string whole;
   {
     Journal j(folder, kLimit);
-    j.take(1, message("plain")), j.take(2, with_keys("a"));
+    j.record_message(1, message("plain")), j.record_message(2, with_keys("a"));
     ASSERT_TRUE(j.commit());
     while (j.compact()) {
     }
@@ -122,43 +122,43 @@
     write(whole.substr(0, cut));
     {
       Journal j(folder, kLimit);
-      const auto held = j.held().find(2);
-      ASSERT_EQ(held != j.held().end(), cut == whole.size());
-      if (held == j.held().end()) {
-        j.take(2, message("next"));
+      const auto held = j.messages().find(2);
+      ASSERT_EQ(held != j.messages().end(), cut == whole.size());
+      if (held == j.messages().end()) {
+        j.record_message(2, message("next"));
       } else {
         EXPECT_EQ(held->second.message.order_key, "about-a");
       }
       ASSERT_TRUE(j.commit());
     }
     const Journal again(folder, kLimit);
-    const Message& m = again.held().at(2).message;
-    EXPECT_EQ(m.key, m.id == "a" ? "key-a" : "") << "cut at " << cut;
+    const Message& m = again.messages().at(2).message;
+    EXPECT_EQ(m.idempotency_key, m.id == "a" ? "key-a" : "") << "cut at " << cut;
   }
 }
 
 TEST_F(JournalTest, ADamagedRecordEndsWhatIsRead) {
   {
     Journal j(folder, kLimit);
-    j.take(1, message("a")), j.take(2, message("b"));
+    j.record_message(1, message("a")), j.record_message(2, message("b"));
     ASSERT_TRUE(j.commit());
   }
   auto bytes = content();
   bytes[bytes.size() - 3] = static_cast<char>(bytes[bytes.size() - 3] ^ 1);
   write(bytes);
   const Journal j(folder, kLimit);
-  EXPECT_EQ(j.held().size(), 1u);
+  EXPECT_EQ(j.messages().size(), 1u);
   EXPECT_GT(j.dropped_bytes(), 0u);
 }
 
 TEST_F(JournalTest, AFileOfSomethingElseIsNoJournal) {
   write("something else altogether\n");
   Journal j(folder, kLimit);
-  EXPECT_TRUE(j.held().empty());
+  EXPECT_TRUE(j.messages().empty());
   EXPECT_GT(j.dropped_bytes(), 0u);
-  j.take(1, message("a"));
+  j.record_message(1, message("a"));
   EXPECT_TRUE(j.commit());
-  EXPECT_EQ(Journal(folder, kLimit).held().size(), 1u);
+  EXPECT_EQ(Journal(folder, kLimit).messages().size(), 1u);
 }
 
 // Large bodies fill the folder fast: it stays under its limit at every step, nothing held is lost, and room
@@ -169,11 +169,11 @@
   int refused = 0;
   for (int i = 0; i < 1000; i++) {
     const Message m = message(std::to_string(next), 64 * 1024 - 1);
-    if (j.room_for(m)) {
-      j.take(next++, m);
+    if (j.has_capacity_for(m)) {
+      j.record_message(next++, m);
     } else {
       refused++;
-      if (first < next) j.over(first++);
+      if (first < next) j.record_completed(first++);
     }
     ASSERT_TRUE(j.commit());
     ASSERT_LE(on_disk(), kLimit);
@@ -182,26 +182,26 @@
   }
   EXPECT_GT(refused, 0);
   EXPECT_GT(next, 200u);  // far more went through than fit at once
-  const auto held = j.held().size();
+  const auto held = j.messages().size();
   EXPECT_EQ(held, next - first);
-  EXPECT_EQ(Journal(folder, kLimit).held().size(), held);
+  EXPECT_EQ(Journal(folder, kLimit).messages().size(), held);
 }
 
 // Endpoints left out by hand stay so through compaction, whatever is called while it goes on.
 TEST_F(JournalTest, SuspensionsSurviveCompaction) {
   {
     Journal j(folder, kLimit);
-    j.suspend("s-1", true), j.suspend("s-2", true), j.suspend("s-2", true);
-    for (MessageId id = 1; id <= 40; id++) j.take(id, message("m", 20'000));
+    j.record_suspension("s-1", true), j.record_suspension("s-2", true), j.record_suspension("s-2", true);
+    for (MessageId id = 1; id <= 40; id++) j.record_message(id, message("m", 20'000));
     EXPECT_TRUE(j.compact());  // a first step, with more to do
-    j.suspend("s-2", false), j.suspend("s-3", true);
+    j.record_suspension("s-2", false), j.record_suspension("s-3", true);
     while (j.compact()) {
     }
     EXPECT_TRUE(j.commit());
   }
   const Journal j(folder, kLimit);
-  EXPECT_EQ(j.suspended(), (std::set<std::string>{"s-1", "s-3"}));
-  EXPECT_EQ(j.held().size(), 40u);
+  EXPECT_EQ(j.suspended_endpoints(), (std::set<std::string>{"s-1", "s-3"}));
+  EXPECT_EQ(j.messages().size(), 40u);
 }
 
 // Killed at any step of a compaction, with news written between the steps, all that is held is found again.
@@ -213,25 +213,26 @@
     std::map<MessageId, std::size_t> expected;
     {
       Journal j(folder, kLimit);
-      for (MessageId id = 1; id <= 12; id++) j.take(id, message(std::to_string(id), 64 * 1024 - 1));
+      for (MessageId id = 1; id <= 12; id++) j.record_message(id, message(std::to_string(id), 64 * 1024 - 1));
       ASSERT_TRUE(j.commit());
       MessageId id = 100;
       for (int step = 0; step < stop; step++) {
         j.compact();
-        j.take(id, message(std::to_string(id))), j.sent(id, 1, 0);
-        j.sent(1, 1, 0), j.sent(12, 1, 0);  // one that was copied by now, and one that may not be
-        if (step == 3) j.over(5);
+        j.record_message(id, message(std::to_string(id))), j.record_attempt(id, 1, 0);
+        j.record_attempt(1, 1, 0),
+            j.record_attempt(12, 1, 0);  // one that was copied by now, and one that may not be
+        if (step == 3) j.record_completed(5);
         id++;
         ASSERT_TRUE(j.commit());
       }
-      for (const auto& [number, held] : j.held()) expected[number] = held.attempts.size();
+      for (const auto& [number, held] : j.messages()) expected[number] = held.attempts.size();
       fs::remove_all(copy);
       fs::copy(folder, copy);  // what SIGKILL would leave
     }
     {
       const Journal left(copy, kLimit);
       std::map<MessageId, std::size_t> found;
-      for (const auto& [number, held] : left.held()) found[number] = held.attempts.size();
+      for (const auto& [number, held] : left.messages()) found[number] = held.attempts.size();
       EXPECT_EQ(found, expected) << "stopped after step " << stop;
       EXPECT_FALSE(fs::exists(copy + "/journal.next"));
     }
@@ -243,14 +244,14 @@
 // to come.
 TEST_F(JournalTest, TheCostOfAMessageIsTheLengthOfItsRecords) {
   Message bare, keyed = message("a"), ordered = message("long id", 5000);
-  keyed.key = "key", ordered.order_key = "about";
+  keyed.idempotency_key = "key", ordered.order_key = "about";
   std::vector<std::uint64_t> later;
   for (const Message& m : {bare, message("b"), keyed, ordered}) {
     Journal j(folder, kLimit);
     const auto before = content().size();
-    j.take(1 + later.size(), m);
+    j.record_message(1 + later.size(), m);
     ASSERT_TRUE(j.commit());
-    later.push_back(Journal::cost(m) - (content().size() - before));
+    later.push_back(Journal::reserved_bytes(m) - (content().size() - before));
   }
   EXPECT_EQ(later, std::vector<std::uint64_t>(4, later[0]));
   EXPECT_GE(later[0], 8u * 50);  // eight attempts
@@ -259,9 +260,9 @@
 
 TEST_F(JournalTest, NoRoomIsToldBeforeAMessageIsTaken) {
   Journal j(folder, 200'000);
-  EXPECT_TRUE(j.room_for(message("a", 1000)));
-  EXPECT_FALSE(j.room_for(message("a", 100'000)));
-  EXPECT_FALSE(j.room_for(message("a", 1000), 90'000));
+  EXPECT_TRUE(j.has_capacity_for(message("a", 1000)));
+  EXPECT_FALSE(j.has_capacity_for(message("a", 100'000)));
+  EXPECT_FALSE(j.has_capacity_for(message("a", 1000), 90'000));
 }
 
 }  // namespace
--- a/tests/operators_test.cpp
+++ b/tests/operator_server_test.cpp
@@ -1,5 +1,5 @@
 // The operators' entry: its lines by themselves, then the whole relay over loopback sockets.
-#include "operators.hpp"
+#include "operator_server.hpp"
 
 #include "relay_harness.hpp"
 
@@ -10,13 +10,13 @@
 const char* const kUnsafe = "pay-and-order";
 
 TEST(OperatorLine, IsReadOrTurnedDownWithTheReason) {
-  EXPECT_EQ(read_call("STATUS").problem, "");
-  EXPECT_EQ(read_call("STATUS\r").problem, "");
-  EXPECT_EQ(read_call("SUSPEND s-1").call.verb, Verb::suspend);
-  EXPECT_EQ(read_call("RESTORE s-1\r").call.id, "s-1");
+  EXPECT_EQ(parse_command("STATUS").problem, "");
+  EXPECT_EQ(parse_command("STATUS\r").problem, "");
+  EXPECT_EQ(parse_command("SUSPEND s-1").command.verb, OperatorVerb::suspend);
+  EXPECT_EQ(parse_command("RESTORE s-1\r").command.endpoint, "s-1");
   for (const char* bad :
        {"", " ", "status", "SUSPEND", "SUSPEND ", "RESTORE a b", "PAUSE now", "STATUS ", "\x01"})
-    EXPECT_NE(read_call(bad).problem, "") << bad;
+    EXPECT_NE(parse_command(bad).problem, "") << bad;
 }
 
 class OperatorsTest : public RelayTest {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -2,36 +2,36 @@
 // life.
 #include "platform.hpp"
 
+#include "json_stream_splitter.hpp"
 #include "relay_harness.hpp"
-#include "values.hpp"
 
 namespace message_relay::testing {
 namespace {
 
-using dispatch::event::Loss;
+using dispatch::event::ListLossReason;
 
 TEST(Values, ComeWholeHoweverTheyAreBroken) {
   const std::string first = "{\n  \"a\": \"}{ \\\" \\\\\",\n  \"b\": [\n    {}\n  ]\n}", second = "[1,[2]]";
   const std::string all = "\n \r\n" + first + "\n\n\t" + second + "\n";
   for (std::size_t size = 1; size <= all.size(); size++) {
-    ValueStream stream;
+    JsonStreamSplitter stream;
     std::vector<std::string> got;
     for (std::size_t at = 0; at < all.size(); at += size) {
-      stream.put(all.substr(at, size));
+      stream.append(all.substr(at, size));
       while (const auto one = stream.next()) got.push_back(*one);
     }
     EXPECT_EQ(got, (std::vector<std::string>{first, second})) << "in pieces of " << size;
-    EXPECT_FALSE(stream.broken());
-    EXPECT_EQ(stream.waiting(), 0u) << "empty lines are not kept";
+    EXPECT_FALSE(stream.malformed());
+    EXPECT_EQ(stream.buffered_bytes(), 0u) << "empty lines are not kept";
   }
 }
 
 TEST(Values, WhatBeginsNoneIsToldAtOnce) {
-  ValueStream stream;
-  stream.put("{} what");
+  JsonStreamSplitter stream;
+  stream.append("{} what");
   EXPECT_TRUE(stream.next());
   EXPECT_FALSE(stream.next());
-  EXPECT_TRUE(stream.broken());
+  EXPECT_TRUE(stream.malformed());
 }
 
 std::string chunk(const std::string& text) {
@@ -49,9 +49,9 @@
   void begin(std::chrono::microseconds answer, std::chrono::microseconds silent,
              std::chrono::microseconds notice = kLong) {
     platform.emplace(
-        io, where(agent), names, Patience{answer, silent, notice}, 41,
-        [this](MemberList list) { lists.push_back(std::move(list)); },
-        [this](Loss why) { lost.push_back(why); }, [](const std::vector<MessageId>&) {});
+        io, where(agent), names, PlatformTimeouts{answer, silent, notice}, 41,
+        [this](EndpointList list) { lists.push_back(std::move(list)); },
+        [this](ListLossReason why) { lost.push_back(why); }, [](const std::vector<MessageId>&) {});
     platform->watch();
   }
   template <class Condition>
@@ -73,9 +73,9 @@
   net::io_context io;
   Server agent;
   std::vector<Got> asked;
-  configuration::Tables names;
-  std::vector<MemberList> lists;
-  std::vector<Loss> lost;
+  configuration::SettingNames names;
+  std::vector<EndpointList> lists;
+  std::vector<ListLossReason> lost;
   std::optional<Platform> platform;
   static constexpr std::chrono::microseconds kLong = std::chrono::seconds(300), kShort{20'000};
 };
@@ -90,15 +90,15 @@
   wait_for([&] { return lists.size() == 2 || !lost.empty(); }, "both lists");
   EXPECT_TRUE(lost.empty());
   ASSERT_EQ(lists.size(), 2u);
-  EXPECT_EQ(lists[0].index, 42);
-  EXPECT_EQ(lists[1].members.at(0).endpoint.listing, dispatch::Listing::draining);
+  EXPECT_EQ(lists[0].version, 42);
+  EXPECT_EQ(lists[1].entries.at(0).endpoint.status, dispatch::EndpointStatus::draining);
 }
 
 // An agent that takes the call and says nothing is given up by the first patience, not by that with a watch.
 TEST_F(PlatformTest, ACallThatNobodyAnswersIsGivenUp) {
   begin(kShort, kLong);
   wait_for([&] { return !lost.empty(); }, "it is given up");
-  EXPECT_EQ(lost, std::vector<Loss>{Loss::failed});
+  EXPECT_EQ(lost, std::vector<ListLossReason>{ListLossReason::failed});
 }
 
 TEST_F(PlatformTest, AWatchThatFellSilentIsToldApartFromACallThatFailed) {
@@ -106,7 +106,7 @@
   wait_for([&] { return asked.size() == 1; }, "the watch");
   asked[0].session->write(kHead + chunk(list(42)));
   wait_for([&] { return !lost.empty(); }, "its end");
-  EXPECT_EQ(lost, std::vector<Loss>{Loss::silent});
+  EXPECT_EQ(lost, std::vector<ListLossReason>{ListLossReason::timed_out});
 }
 
 // What the old address still says when discovery has moved is nobody's list any more.
@@ -115,14 +115,14 @@
   begin(kLong, kLong);
   wait_for([&] { return asked.size() == 1; }, "the watch");
   asked[0].session->write(kHead + chunk(list(42)));
-  platform->move(where(moved));  // it lies unread in the socket
-  EXPECT_EQ(lost, std::vector<Loss>{Loss::moved});
+  platform->relocate(where(moved));  // it lies unread in the socket
+  EXPECT_EQ(lost, std::vector<ListLossReason>{ListLossReason::relocated});
   platform->watch();
   wait_for([&] { return asked.size() == 2; }, "the watch at the new address");
   EXPECT_EQ(asked[1].request.target(), "/catalog/members?follow=1&since=0");
   asked[1].session->write(kHead + chunk(list(3)));
   wait_for([&] { return !lists.empty(); }, "its list");
-  EXPECT_EQ(lists[0].index, 3);
+  EXPECT_EQ(lists[0].version, 3);
 }
 
 // After a move the whole list is asked for where changes came alone; should that fail, it is due no later
@@ -130,7 +130,7 @@
 TEST_F(PlatformTest, AWholeListThatDoesNotComeAfterAMoveIsAskedForSoon) {
   Server moved(io, [this](const Got& g) { asked.push_back(g); });
   begin(kLong, kLong);
-  platform->move(where(moved));
+  platform->relocate(where(moved));
   platform->watch();
   wait_for([&] { return asked.size() == 1; }, "the watch at the new address");
   asked[0].session->write(kHead + chunk(list(3)));
@@ -138,7 +138,7 @@
   EXPECT_EQ(asked[1].request.target(), "/catalog/members");
   asked[1].session->close();
   wait_for([&] { return lost.size() == 2; }, "its loss");
-  EXPECT_EQ(lost, (std::vector<Loss>{Loss::moved, Loss::silent}));
+  EXPECT_EQ(lost, (std::vector<ListLossReason>{ListLossReason::relocated, ListLossReason::timed_out}));
 }
 
 // A kept connection falls silent just as a notice is written to it: it goes on a new one, long before the
@@ -152,11 +152,11 @@
       if (g.request.method() == http::verb::post) asked.push_back(g);
     });
     begin(std::chrono::milliseconds(800), kLong, kShort);  // the watch that nobody answers tells the time
-    platform->notice(1, "m1", {});
+    platform->send_final_notice(1, "m1", {});
     wait_for([&] { return asked.size() == 1; }, "the first notice");
     asked[0].session->answer(204);
-    wait_for([&] { return !platform->notices_owed(); }, "its answer");
-    platform->notice(2, "m2", {});
+    wait_for([&] { return !platform->has_pending_notices(); }, "its answer");
+    platform->send_final_notice(2, "m2", {});
     wait_for([&] { return asked.size() == 2; }, "the second on the same connection");
     EXPECT_EQ(asked[1].session, asked[0].session);
     wait_for([&] { return asked.size() == 3; }, "the second once more");
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -251,19 +251,19 @@
     const auto held = [&](MessageId id, const std::string& cls,
                           const std::vector<std::pair<Time, std::optional<Outcome>>>& attempts) {
       Message m;
-      m.id = "m" + std::to_string(id), m.message_class = cls, m.key = "key-" + m.id;
+      m.id = "m" + std::to_string(id), m.message_class = cls, m.idempotency_key = "key-" + m.id;
       m.destination = 7, m.deadline = now + 600'000'000;
-      journal.take(id, m);
+      journal.record_message(id, m);
       for (std::size_t i = 0; i < attempts.size(); i++) {
-        journal.sent(id, attempts[i].first, 0);
-        if (attempts[i].second) journal.outcome(id, static_cast<int>(i), *attempts[i].second);
+        journal.record_attempt(id, attempts[i].first, 0);
+        if (attempts[i].second) journal.record_outcome(id, static_cast<int>(i), *attempts[i].second);
       }
     };
     held(1, "short", {{before, std::nullopt}});
     held(2, "short", {{before, Outcome::reset}, {now, std::nullopt}});
-    held(3, "short", {{before, Outcome::timeout}, {now, Outcome::full}});
+    held(3, "short", {{before, Outcome::timeout}, {now, Outcome::rejected}});
     held(4, "long", {{now, std::nullopt}});
-    held(5, "short", {{before, Outcome::full}});
+    held(5, "short", {{before, Outcome::rejected}});
     ASSERT_TRUE(journal.commit());
   }
   start();
@@ -1002,11 +1002,11 @@
     Journal journal(folder + "/state", kDisk);
     Message m;
     m.id = "held", m.message_class = kUnsafe, m.destination = 7, m.deadline = wall_now() + 600'000'000;
-    journal.take(1, m);
+    journal.record_message(1, m);
     m.body = std::string(60'000, 'x');
-    for (MessageId id = 2; journal.bytes() < kDisk / 100 * 95; id++) {
+    for (MessageId id = 2; journal.bytes_on_disk() < kDisk / 100 * 95; id++) {
       m.id = "over" + std::to_string(id);
-      journal.take(id, m), journal.over(id);
+      journal.record_message(id, m), journal.record_completed(id);
       ASSERT_TRUE(journal.commit());
     }
   }
--- a/tests/request_test.cpp
+++ b/tests/request_parser_test.cpp
@@ -1,11 +1,11 @@
 // What is taken from a client's request, by table: which ones make no sense, and where their end is in doubt.
-#include "request.hpp"
+#include "request_parser.hpp"
 
 #include <gtest/gtest.h>
 
 #include <boost/beast/http/parser.hpp>
 
-#include "framing.hpp"
+#include "http_framing.hpp"
 
 namespace message_relay {
 namespace {
@@ -28,13 +28,13 @@
     const std::string text = first + "\r\n" + head + "\r\nabc";
     parser.put(boost::asio::buffer(text), bad);
     if (!parser.is_header_done() || (bad && bad != http::error::need_more)) return 400;
-    if (!framing_certain(parser.get(), parser.get().version())) return 499;
-    handed = read_message(parser.get(), settings, names);
-    return handed.refused > 0 ? handed.refused : 202;
+    if (!has_unambiguous_framing(parser.get(), parser.get().version())) return 499;
+    handed = parse_request(parser.get(), settings, names);
+    return handed.rejection_status > 0 ? handed.rejection_status : 202;
   }
   dispatch::Settings settings;
-  configuration::Tables names;
-  Handed handed;
+  configuration::SettingNames names;
+  ParsedRequest handed;
 };
 
 const std::string kId = "X-Request-Id: 9b1f\r\n", kTenant = "X-Tenant: acme\r\n",
@@ -46,7 +46,7 @@
   EXPECT_EQ(handed.message.id, "9b1f");
   EXPECT_EQ(handed.message.destination, 7);
   EXPECT_EQ(handed.message.body, "abc");
-  EXPECT_TRUE(handed.message.repeat);
+  EXPECT_TRUE(handed.message.resubmitted);
 }
 
 TEST_F(RequestTest, WhatMakesNoSenseIsTurnedDown) {
--- a/tests/answer_test.cpp
+++ b/tests/response_reader_test.cpp
@@ -1,22 +1,22 @@
 // Answers of endpoints, by table: which are whole, which are broken, and what their first line still proves.
-#include "answer.hpp"
+#include "response_reader.hpp"
 
 #include <gtest/gtest.h>
 
 namespace message_relay {
 namespace {
 
-using State = AnswerReader::State;
+using State = ResponseReader::State;
 
 // The answer cut into pieces of every size, which must make no difference.
 void expect(const std::string& text, State state, bool ok, bool reusable = false) {
   for (std::size_t piece : {text.size(), std::size_t{1}, std::size_t{7}}) {
-    AnswerReader reader;
+    ResponseReader reader;
     State got = State::more;
     for (std::size_t at = 0; at < text.size() && got == State::more; at += piece)
-      got = reader.put(text.data() + at, std::min(piece, text.size() - at));
+      got = reader.append(text.data() + at, std::min(piece, text.size() - at));
     EXPECT_EQ(got, state) << text.substr(0, 80) << " in pieces of " << piece;
-    EXPECT_EQ(reader.says_ok(), ok) << text.substr(0, 80) << " in pieces of " << piece;
+    EXPECT_EQ(reader.status_line_ok(), ok) << text.substr(0, 80) << " in pieces of " << piece;
     EXPECT_EQ(reader.reusable(), reusable) << text.substr(0, 80);
   }
 }
@@ -39,9 +39,9 @@
   std::string endless;
   for (int i = 0; i < 40; i++) endless += ahead;
   expect(endless, State::broken, false);
-  AnswerReader reader;
-  EXPECT_EQ(reader.put(ahead.data(), ahead.size()), State::more);
-  EXPECT_FALSE(reader.begun());
+  ResponseReader reader;
+  EXPECT_EQ(reader.append(ahead.data(), ahead.size()), State::more);
+  EXPECT_FALSE(reader.has_started());
 }
 
 // A 200 line before noise still delivers; any other line before noise proves nothing.
@@ -66,14 +66,14 @@
   expect("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhi", State::more, true);
   expect("HTTP/1.1 200 OK\r\nX-A: b\r\n", State::more, true);
   expect("HTTP/1.1 429 X\r\nContent-Length: 10\r\n\r\nhi", State::more, false);
-  AnswerReader reader;
+  ResponseReader reader;
   const std::string half = "HTTP/1.1 429 X\r\nContent-Length: 10\r\n\r\nhi";
-  reader.put(half.data(), half.size());
-  EXPECT_EQ(reader.end(), State::broken);
-  AnswerReader to_the_end;
+  reader.append(half.data(), half.size());
+  EXPECT_EQ(reader.finish(), State::broken);
+  ResponseReader to_the_end;
   const std::string open = "HTTP/1.1 503 X\r\n\r\nhi";
-  EXPECT_EQ(to_the_end.put(open.data(), open.size()), State::more);
-  EXPECT_EQ(to_the_end.end(), State::whole);
+  EXPECT_EQ(to_the_end.append(open.data(), open.size()), State::more);
+  EXPECT_EQ(to_the_end.finish(), State::whole);
   EXPECT_FALSE(to_the_end.reusable());
 }
 
@@ -81,32 +81,34 @@
 TEST(AnswerTest, WhatComesBehindEndsTheConnection) {
   const std::string one = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi";
   for (const std::string& behind : {one, std::string("\x01\x02"), std::string("\r\n")}) {
-    AnswerReader reader;
+    ResponseReader reader;
     const std::string text = one + behind;
-    EXPECT_EQ(reader.put(text.data(), text.size()), State::whole);
+    EXPECT_EQ(reader.append(text.data(), text.size()), State::whole);
     EXPECT_EQ(reader.body(), "hi");
     EXPECT_FALSE(reader.reusable());
   }
 }
 
 TEST(AnswerTest, ReportsAndWaitsThatMakeNoSenseAreNone) {
-  std::optional<AnswerReader> reader;
-  const auto read = [&reader](const std::string& head) -> const AnswerReader& {
+  std::optional<ResponseReader> reader;
+  const auto read = [&reader](const std::string& head) -> const ResponseReader& {
     const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + head + "\r\n\r\n";
-    EXPECT_EQ(reader.emplace().put(text.data(), text.size()), State::whole);
+    EXPECT_EQ(reader.emplace().append(text.data(), text.size()), State::whole);
     return *reader;
   };
-  EXPECT_EQ(read("X-Load: x0=0.4,x1=25").report().limit_left, 0.4);
-  EXPECT_EQ(read("X-Load: x0=0.4,x1=25").report().limit_rate, 25);
+  EXPECT_EQ(read("X-Load: x0=0.4,x1=25").load_report().remaining_fraction, 0.4);
+  EXPECT_EQ(read("X-Load: x0=0.4,x1=25").load_report().rate_limit, 25);
   for (const std::string& bad : {std::string("nan"), std::string("inf"), std::string("-1"),
                                  std::string("4abc"), std::string(""), std::string("1e999")}) {
-    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).report().limit_left, dispatch::Report{}.limit_left)
+    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).load_report().remaining_fraction,
+              dispatch::LoadReport{}.remaining_fraction)
         << bad;
-    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).report().limit_rate, dispatch::Report{}.limit_rate)
+    EXPECT_EQ(read("X-Load: x0=" + bad + ",x1=" + bad).load_report().rate_limit,
+              dispatch::LoadReport{}.rate_limit)
         << bad;
-    EXPECT_EQ(read("X-Come-Back-Ms: " + bad).told_wait(), 0) << bad;
+    EXPECT_EQ(read("X-Come-Back-Ms: " + bad).retry_after(), 0) << bad;
   }
-  EXPECT_EQ(read("X-Come-Back-Ms: 250").told_wait(), 250'000);
+  EXPECT_EQ(read("X-Come-Back-Ms: 250").retry_after(), 250'000);
 }
 
 }  // namespace
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,5 +1,5 @@
 // The six rules, each with events that break it where its guard is taken out.
-#include "harness.hpp"
+#include "dispatcher_harness.hpp"
 
 namespace dispatch::testing {
 namespace {
@@ -29,15 +29,15 @@
   Relay r;
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kSafe);
-  r.round({event::Withdrawn{id}});
-  r.end(id, Outcome::full);
+  r.round({event::ClientCancelled{id}});
+  r.end(id, Outcome::rejected);
   r.run_to(r.now + 5 * kS);
   EXPECT_EQ(r.sends_of(id), 1);
   EXPECT_TRUE(r.failed.empty() && r.refused.empty());
 }
 TEST(Lost, AttemptLimitHolds) {
   auto s = plain();
-  s.attempts_max = 2;
+  s.max_attempts = 2;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kSafe);
@@ -62,7 +62,7 @@
   }
 }
 TEST(Effects, UnsafeIsTriedAgainWhenItNeverRan) {
-  for (auto o : {Outcome::full, Outcome::connect_failed, Outcome::not_sent}) {
+  for (auto o : {Outcome::rejected, Outcome::connect_failed, Outcome::not_sent}) {
     Relay r;
     r.list({{.id = "a", .destination = 1}});
     const auto id = r.arrive(kUnsafe);
@@ -93,7 +93,7 @@
   r.list({{.id = "a", .destination = 1}});
   const auto id = r.arrive(kKeyed);
   r.run_to(r.now + 4 * kS);
-  r.end(id, Outcome::full);  // never ran: no window opens
+  r.end(id, Outcome::rejected);  // never ran: no window opens
   r.run_to(r.now + 4 * kS);
   ASSERT_EQ(r.sends_of(id), 2);
   const Time second = r.sent.back().at;
@@ -103,7 +103,7 @@
 }
 TEST(Effects, KeyedByZoneStaysInTheZone) {
   auto s = plain();
-  s.classes[kKeyed].group = KeyGroup::zone;
+  s.classes[kKeyed].key_scope = KeyScope::zone;
   for (int seed = 1; seed < 6; seed++) {
     Relay r(s, static_cast<std::uint64_t>(seed));
     r.list({{.id = "a", .destination = 1, .zone = 0},
@@ -124,10 +124,10 @@
 }
 
 TEST(Drains, NothingNewOnceToldThatItDrainsOrIsGone) {
-  for (auto listing : {Listing::draining, Listing::gone}) {
+  for (auto listing : {EndpointStatus::draining, EndpointStatus::removed}) {
     Relay r;
     r.list({{.id = "a", .destination = 1}});
-    r.change({.id = "a", .destination = 1, .listing = listing});
+    r.change({.id = "a", .destination = 1, .status = listing});
     r.run_to(r.now + 100 * kMs);
     const auto id = r.arrive(kSafe);
     r.run_to(r.now + 3 * kS);
@@ -148,10 +148,10 @@
 // After any outage, no window may hold much more than this relay's part of what a cold destination stands.
 void expect_gentle_return(Outcome symptom) {
   auto s = plain();
-  s.fall_multiple = 2, s.cold_from = 0.2, s.cold = 8 * kS;
+  s.overload_multiple = 2, s.slow_start_capacity = 0.2, s.slow_start_duration = 8 * kS;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}});
-  const auto serve = [](const Sent&) -> std::optional<Outcome> { return Outcome::served; };
+  const auto serve = [](const Sent&) -> std::optional<Outcome> { return Outcome::succeeded; };
   r.live(10 * kS, 10, kSafe, 1, serve);
   const auto fail = [&](const Sent&) -> std::optional<Outcome> { return symptom; };
   r.live(8 * kS, 10, kSafe, 1, fail);
@@ -170,14 +170,14 @@
 }
 TEST(Return, AfterRefusedConnects) { expect_gentle_return(Outcome::connect_failed); }
 TEST(Return, AfterErrors) { expect_gentle_return(Outcome::error); }
-TEST(Return, AfterBeingShut) { expect_gentle_return(Outcome::full); }
+TEST(Return, AfterBeingShut) { expect_gentle_return(Outcome::rejected); }
 
 TEST(Waits, ToldWaitHoldsEverySendToTheDestination) {
   Relay r;
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}, {.id = "c", .destination = 2}});
   const auto id = r.arrive(kSafe);
   const Time told = r.now;
-  r.end(id, Outcome::full, 2 * kS);
+  r.end(id, Outcome::rejected, 2 * kS);
   r.arrive(kUnsafe);
   r.run_to(told + 1500 * kMs);
   r.arrive(kSafe);
@@ -189,13 +189,13 @@
 }
 TEST(Waits, ToldWaitHoldsOneRouteWhereRoutesAreApart) {
   auto s = plain();
-  s.kinds[0].routes_apart = true;
+  s.kinds[0].independent_routes = true;
   Relay r(s);
   r.list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
   const auto id = r.arrive(kSafe);
   const EndpointId held = r.sent[0].endpoint;
   const Time told = r.now;
-  r.end(id, Outcome::full, 3 * kS);
+  r.end(id, Outcome::rejected, 3 * kS);
   for (int i = 0; i < 4; i++) r.arrive(kSafe);
   r.run_to(told + 2900 * kMs);
   EXPECT_EQ(r.sends_between(told + 1, told + 3 * kS, held), 0);
@@ -205,7 +205,7 @@
 Settings ordered() {
   auto s = plain();
   s.classes[kSafe].ordered = s.classes[kUnsafe].ordered = true;
-  s.settle_after_doubt = 700 * kMs;
+  s.order_key_quiet_period = 700 * kMs;
   return s;
 }
 TEST(Order, OneAtATimeInTheOrderTaken) {
@@ -217,10 +217,10 @@
   const auto other = r.arrive(kSafe, 1, "k2");
   EXPECT_EQ(r.sends_of(second) + r.sends_of(third), 0);
   EXPECT_EQ(r.sends_of(other), 1);
-  r.end(first, Outcome::served);
+  r.end(first, Outcome::succeeded);
   EXPECT_EQ(r.sends_of(second), 1);
   EXPECT_EQ(r.sends_of(third), 0);
-  r.end(second, Outcome::served);
+  r.end(second, Outcome::succeeded);
   EXPECT_EQ(r.sends_of(third), 1);
 }
 TEST(Order, WithdrawnMessageStillBlocksWhileItsAttemptIsOut) {
@@ -228,9 +228,9 @@
   r.list({{.id = "a", .destination = 1}});
   const auto first = r.arrive(kSafe, 1, "k");
   const auto second = r.arrive(kSafe, 1, "k");
-  r.round({event::Withdrawn{first}});
+  r.round({event::ClientCancelled{first}});
   EXPECT_EQ(r.sends_of(second), 0);
-  r.end(first, Outcome::served);
+  r.end(first, Outcome::succeeded);
   EXPECT_EQ(r.sends_of(second), 1);
 }
 TEST(Order, TheKeyRestsAfterDoubt) {
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -8,7 +8,7 @@
 #include <memory>
 
 #include "least_squares.hpp"
-#include "meters.hpp"
+#include "resource_meters.hpp"
 #include "slopes.hpp"
 
 namespace scale_tool {
