Expect the new names of settings in the messages on bad ones

Cause: renamed the settings that validate()'s messages name; three tests still asked for slots and aim and failed there. Change: the three tests ask for max_calls_in_flight and latency_objective, as strictly as before; format of those lines. The text of FATAL and of the relay's start-up error changes with the names; keys and forms do not.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1210,7 +1210,8 @@
     need(c.idempotency_window >= 0, "classes.idempotency_window: must not be negative");
   }
   for (const auto& k : s.kinds) need(k.max_batch_size >= 1, "kinds.max_batch_size: must be 1 or more");
-  for (const auto& t : s.tenants) need(t.quota_per_second >= 0, "tenants.quota_per_second: must not be negative");
+  for (const auto& t : s.tenants)
+    need(t.quota_per_second >= 0, "tenants.quota_per_second: must not be negative");
   need(s.relay_count >= 1, "relay_count: must be 1 or more");
   need(s.max_calls_in_flight >= 1, "max_calls_in_flight: must be 1 or more");
   need(s.max_open_messages >= 1, "max_open_messages: must be 1 or more");
@@ -1221,8 +1222,10 @@
   need(s.drain_grace >= 0 && s.max_poll_interval >= 0 && s.order_key_quiet_period >= 0 && s.answer_slack >= 0,
        "drain_grace, max_poll_interval, order_key_quiet_period, answer_slack: must not be negative");
   need(s.overload_multiple > 0, "overload_multiple: must be above 0");
-  need(s.overload_duration >= 0 && s.slow_start_duration >= 0, "overload_duration and slow_start_duration: must not be negative");
-  need(s.slow_start_capacity >= 0 && s.slow_start_capacity <= 1, "slow_start_capacity: must lie between 0 and 1");
+  need(s.overload_duration >= 0 && s.slow_start_duration >= 0,
+       "overload_duration and slow_start_duration: must not be negative");
+  need(s.slow_start_capacity >= 0 && s.slow_start_capacity <= 1,
+       "slow_start_capacity: must lie between 0 and 1");
 }
 
 Dispatcher::Dispatcher(const Settings& settings, std::uint64_t seed) {
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -108,7 +108,7 @@
   std::string line = start("relay-0");
   line.replace(line.find("\"Workers\":4"), 11, "\"Workers\":0");
   const auto reply = round({line});
-  EXPECT_TRUE(has(reply, R"({"kind":"FATAL","Who":"relay-0","Msg":"settings: slots)")) << reply;
+  EXPECT_TRUE(has(reply, R"({"kind":"FATAL","Who":"relay-0","Msg":"settings: max_calls_in_flight)")) << reply;
 }
 TEST_F(Wire, NullsAndAbsentFieldsAreNoError) {
   round({start("relay-0"), pool(0, "a:1"), sync("relay-0", 0),
--- a/tests/dispatcher_test.cpp
+++ b/tests/dispatcher_test.cpp
@@ -812,8 +812,9 @@
     return std::string();
   };
   EXPECT_EQ(complaint([](Settings&) {}), "");
-  EXPECT_NE(complaint([](Settings& s) { s.max_calls_in_flight = 0; }).find("slots"), std::string::npos);
-  EXPECT_NE(complaint([](Settings& s) { s.classes[0].latency_objective = -1; }).find("aim"),
+  EXPECT_NE(complaint([](Settings& s) { s.max_calls_in_flight = 0; }).find("max_calls_in_flight"),
+            std::string::npos);
+  EXPECT_NE(complaint([](Settings& s) { s.classes[0].latency_objective = -1; }).find("latency_objective"),
             std::string::npos);
   EXPECT_NE(complaint([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
   EXPECT_NE(complaint([](Settings& s) { s.drain_grace = -1; }).find("drain_grace"), std::string::npos);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -854,7 +854,7 @@
   EXPECT_NE(without("\"seed\"", "\"sead\"").find("config.seed"), std::string::npos);
   EXPECT_NE(without("\"disk_mb\":3", "\"disk_mb\":\"much\"").find("config.limits.disk_mb"),
             std::string::npos);
-  EXPECT_NE(without("\"Workers\":8", "\"Workers\":0").find("slots"), std::string::npos);
+  EXPECT_NE(without("\"Workers\":8", "\"Workers\":0").find("max_calls_in_flight"), std::string::npos);
   EXPECT_NE(without("\"Workers\":8", "\"Walkers\":8").find("FamilyInfo.Workers"), std::string::npos);
   EXPECT_NE(without("\"name\":\"s-1\"", "\"name\":1").find("known.endpoints.name"), std::string::npos);
   EXPECT_NE(without("{\"name\"", "{{").find("config"), std::string::npos);
