Move the rate estimator, learned state's text and plain records out of the policy file

Cause: they decide nothing; the policy file holds only decisions and their constants. Change: src/rate_estimator.hpp, src/learned_state.*, src/records.hpp, src/time_units.hpp, src/dispatcher.cpp uses them; the members of records get whole names with the move. The words of the stored text are named constants with the reason why they stay. The comment that named a page that does not exist is mended.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -1,12 +1,11 @@
 // The decisions of dispatch. Interface: include/dispatch/dispatcher.hpp
 //
-// Read top to bottom: constants; what is kept of endpoints, targets and messages; learning from
+// Read top to bottom: constants; what is kept of endpoints, rate limits and messages; learning from
 // outcomes (LIMD delay, pace, health); the list; the one gate that every send passes; choosing what goes
-// next; ends and timers. docs/design.md tells what comes from the design's source and what is ours.
+// next; ends and timers.
 #include "dispatch/dispatcher.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <deque>
 #include <limits>
@@ -14,9 +13,13 @@
 #include <optional>
 #include <random>
 #include <set>
-#include <sstream>
 #include <utility>
 
+#include "learned_state.hpp"
+#include "rate_estimator.hpp"
+#include "records.hpp"
+#include "time_units.hpp"
+
 namespace dispatch {
 namespace {
 
@@ -105,67 +108,10 @@
 constexpr double kPauseOfGrace = 0.125, kMostPause = 0.25;  // share of a drain's grace; seconds
 constexpr double kBufferFull = 0.92;  // above this share of the buffer the least worth is refused
 
-// ---- What has been learnt, as text: a line of fields each, in the order in which each() names them. ----
-const std::string kLearnt = "learnt-2";
-
-template <class T>
-void write_line(std::ostringstream& out, const std::string& name, T& of) {
-  out << name;
-  of.each([&out](auto v) {
-    char text[64];
-    out << ' ' << std::string(text, std::to_chars(text, text + sizeof text, static_cast<double>(v)).ptr);
-  });
-  out << '\n';
-}
-// All of the line or nothing.
-template <class T>
-void read_line(std::istringstream& in, T& of) {
-  T read = of;
-  bool whole = true;
-  read.each([&](auto& v) {
-    std::string text;
-    double number = 0;
-    in >> text;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    whole = whole && error == std::errc() && end == text.data() + text.size();
-    if (whole) v = static_cast<std::remove_reference_t<decltype(v)>>(number);
-  });
-  if (whole && (in >> std::ws).eof()) of = read;
-}
-
 const std::string kNoteRefused = "1r";  // a note between relays: its version, its kind, then the endpoint
-constexpr Time kNever = std::numeric_limits<Time>::max() / 4;
 constexpr double kUnbounded = std::numeric_limits<double>::infinity();
 
-double seconds(Time t) { return static_cast<double>(t) * 1e-6; }
-Time micros(double s) { return s > 1e9 ? kNever : static_cast<Time>(s * 1e6); }
-
-// Calls a second, forgetting old ones.
-class Rate {
- public:
-  explicit Rate(double memory = kRateMemory) : memory_(memory) {}
-  void start(Time now) { first_ = last_ = now; }  // else with the first call
-  void add(Time now) { decay(now), sum_ += 1; }
-  double at(Time now) {
-    if (first_ < 0) return 0;
-    decay(now);
-    const double seen = 1 - std::exp(-(seconds(now - first_) + 1) / memory_);
-    return sum_ / memory_ / seen;
-  }
-  template <class F>
-  void each(F&& f) {
-    f(sum_), f(first_), f(last_);
-  }
-
- private:
-  void decay(Time now) {
-    if (first_ < 0) first_ = last_ = now;
-    sum_ *= std::exp(-seconds(now - last_) / memory_);
-    last_ = now;
-  }
-  double memory_, sum_ = 0;
-  Time first_ = -1, last_ = 0;
-};
+}  // namespace
 
 struct Target {              // what shares one limit: a destination, or a route apart
   double delay = 0;          // D, in seconds; 0: no failure remembered
@@ -175,13 +121,13 @@
   Time tokens_at = 0, cut_at = -kNever, raise_at = 0;
   Time wait_until = 0;  // told wait
   double limit = 0;     // calls a second that it takes of all relays together, as told; 0: not told
-  Rate served;
+  RateEstimator served{kRateMemory};
   int refusals = 0, failures = 0;  // since the last serve
   std::size_t kind = 0;
   template <class F>
-  void each(F&& f) {
+  void visit_learned_fields(F&& f) {
     f(delay), f(delay_at), f(pace), f(tokens), f(tokens_at), f(cut_at), f(raise_at), f(wait_until),
-        served.each(f);
+        served.visit_learned_fields(f);
     f(refusals), f(let_through), f(let_at), f(told_at), f(hold_until), f(refused_from), f(limit);
   }
   double let_through = 1;  // share of attempts let through after refusals that this relay or others met
@@ -195,11 +141,11 @@
   Endpoint info;
   Target own;  // used where routes are apart
   bool apart = false;
-  int bundle_max = 1, bundle = 1;   // messages in a call: at most, and as trusted now
-  std::set<std::uint64_t> calls;    // out, oldest first
-  double latency = kFirstLatency;   // recent, stretched by calls without an answer
-  double usual = 0;                 // long-run latency of the served ones
-  Rate served, asked{kLongMemory};  // calls served; first tries while open
+  int bundle_max = 1, bundle = 1;                         // messages in a call: at most, and as trusted now
+  std::set<std::uint64_t> calls;                          // out, oldest first
+  double latency = kFirstLatency;                         // recent, stretched by calls without an answer
+  double usual = 0;                                       // long-run latency of the served ones
+  RateEstimator served{kRateMemory}, asked{kLongMemory};  // calls served; first tries while open
   double fail_share = 0;
   int fail_run = 0;                     // failed calls since the last serve
   int strays = 0;                       // resets and errors among them
@@ -219,8 +165,8 @@
   Time capped_at = 0, crowded_at = -kNever;
   std::uint64_t open_call = 0;  // call begun in this round, for bundling
   template <class F>
-  void each(F&& f) {
-    own.each(f), served.each(f), asked.each(f);
+  void visit_learned_fields(F&& f) {
+    own.visit_learned_fields(f), served.visit_learned_fields(f), asked.visit_learned_fields(f);
     f(bundle), f(latency), f(usual), f(fail_share), f(fail_run), f(strays), f(stray_share), f(served_at);
     f(served_sent), f(doubt_run), f(idle_closed), f(use_gap), f(used_at), f(health), f(usual_rate), f(since);
     f(budget), f(budget_at), f(next_trial), f(call_cap), f(capped_at), f(crowded_at);
@@ -232,35 +178,14 @@
   std::vector<EndpointState*> endpoints;
 };
 
-struct Call {
-  EndpointState* endpoint = nullptr;
-  Time sent = 0;
-  int messages = 0, left = 0;  // taken along; without an outcome yet
-  bool judged = false;         // its fate was counted
-};
-
-struct Message {
-  MessageId id = 0;
-  const ClassSettings* cls = nullptr;
-  DestinationId destination = 0;
-  double worth = 0;
-  Time aim = 0, deadline = 0, ready = 0;
-  std::string key;
-  int sends = 0, gave_up = -1;       // attempts made; the last one that was cancelled
-  std::map<int, std::uint64_t> out;  // attempt to call
-  std::optional<int> may_ran_zone;   // where the first attempt that may have run was made
-  Time may_ran_sent = 0;
-  bool over = false;
-};
-
 struct ThinPace {  // of all calls to thin targets together
   double times = kUnbounded, tokens = 1,
          refused = 0;  // what is asked for; calls saved up; share refused lately
   Time at = 0;
-  Rate asked{kLongMemory};
+  RateEstimator asked{kLongMemory};
   template <class F>
-  void each(F&& f) {
-    f(times), f(tokens), f(refused), f(at), asked.each(f);
+  void visit_learned_fields(F&& f) {
+    f(times), f(tokens), f(refused), f(at), asked.visit_learned_fields(f);
   }
 };
 
@@ -274,14 +199,12 @@
   double stray_share = 0;             // of calls that fail at endpoints which serve on
   double slowness = 1;                // recent latencies of all serves, in usual ones
   template <class F>
-  void each(F&& f) {
+  void visit_learned_fields(F&& f) {
     f(stray_share), f(slowness);
     for (auto& share : after_refusal) f(share);
   }
 };
 
-}  // namespace
-
 struct Dispatcher::State : Overall {
   Settings set;
   std::mt19937_64 random;
@@ -384,7 +307,7 @@
   void pace_cut(Target& t) {
     if (now - t.cut_at < micros(kCutGap)) return;
     if (const double part = share_of(t); part > 0) {
-      const double from = std::min(t.pace, std::max(part, t.served.at(now)));
+      const double from = std::min(t.pace, std::max(part, t.served.rate(now)));
       t.pace = std::max(from * kShareCut, kLeastShare * part);
       t.cut_at = t.raise_at = now;
       // Refused together, told the same wait and paced alike, they would all come again together: nothing is
@@ -392,7 +315,7 @@
       t.tokens = uniform() - 0.5, t.tokens_at = std::max(now, t.wait_until);
       return;
     }
-    const double least = least_pace(t), recent = std::max(t.served.at(now), least);
+    const double least = least_pace(t), recent = std::max(t.served.rate(now), least);
     if (t.pace == kUnbounded) t.tokens = 0;
     t.pace = t.pace == kUnbounded ? recent : std::max(std::min(t.pace, kPaceRoom * recent) * kPaceCut, least);
     t.cut_at = t.raise_at = t.tokens_at = now;
@@ -422,7 +345,7 @@
     // With few relays the run of refusals that closes comes soon enough; one of each of many is too much.
     if (t.refusals >= 2 && set.relay_count > kFewRelays && share_of(t) == 0)
       share = std::min(share, set.overload_multiple * ramp_share() * set.slow_start_capacity);
-    if (t.served.at(now) * kRateMemory >= kFewServes || uniform() < share) return true;
+    if (t.served.rate(now) * kRateMemory >= kFewServes || uniform() < share) return true;
     t.hold_until = now + micros(jittered(kMost * unit));
     return wake_by(t.hold_until), false;
   }
@@ -463,17 +386,17 @@
   // limits.
   Time thin_ready(const Target& t, const Message& m) {
     if (thin.times == kUnbounded || !is_thin(t)) return now;
-    const double pace = thin.times * thin.asked.at(now), most = std::max(kThinSaved, pace * shortest_aim);
+    const double pace = thin.times * thin.asked.rate(now), most = std::max(kThinSaved, pace * shortest_aim);
     thin.tokens = std::min(thin.tokens + pace * seconds(now - thin.at), most);
     thin.at = now;
     // What is short goes to first tries: most of a destination's retries are refused again while it is full.
-    const double need = m.sends > 0 ? std::max(1.0, most / 2) : 1;
+    const double need = m.attempts_made > 0 ? std::max(1.0, most / 2) : 1;
     return thin.tokens >= need ? now : now + micros((need - thin.tokens) / std::max(pace, 1e-9)) + 1;
   }
   void thin_asked(const Message& m) {
     const auto d = destinations.find(m.destination);
     if (d == destinations.end() || d->second.endpoints.empty()) return;
-    if (is_thin(target_of(*d->second.endpoints.front()))) thin.asked.add(now);
+    if (is_thin(target_of(*d->second.endpoints.front()))) thin.asked.add_event(now);
   }
   void thin_learn(const Target& t, bool refused) {
     if (!is_thin(t)) return;
@@ -490,7 +413,7 @@
     const Time late = micros(kOverdueTimes * e.latency + kOverdueMore);
     int n = 0;
     // Only calls sent since the last serve: one lost among many answered is no sign of silence.
-    for (auto id : e.calls) n += now - calls.at(id).sent > late && calls.at(id).sent >= e.served_at;
+    for (auto id : e.calls) n += now - calls.at(id).sent_at > late && calls.at(id).sent_at >= e.served_at;
     return n;
   }
   void close(EndpointState& e, const char* why) {
@@ -509,7 +432,7 @@
     const auto siblings =
         static_cast<double>(e.apart ? 1 : destinations[e.info.destination].endpoints.size());
     const double part = part_of(target_of(e)) / std::max(1.0, siblings);
-    return std::max({e.asked.at(now), part, part > 0 ? 0 : kLeastCalls / set.relay_count});
+    return std::max({e.asked.rate(now), part, part > 0 ? 0 : kLeastCalls / set.relay_count});
   }
   Time trial_gap(EndpointState& e) {
     return micros(jittered(std::max(delay_now(target_of(e)), kInitial * unit)));
@@ -549,7 +472,7 @@
     const Time latency = ev.latency;
     Target& t = target_of(e);
     e.served_at = now, e.served_sent = std::max(e.served_sent, sent);
-    t.served.add(now), e.served.add(now);
+    t.served.add_event(now), e.served.add_event(now);
     learn_refusal(t, 1), thin_learn(t, false);
     t.refusals = t.failures = 0;
     e.latency += kLatencyGain * (seconds(latency) - e.latency);
@@ -594,7 +517,7 @@
   }
   // Where this relay calls seldom, fewer signs must do, else each relay's would come too late.
   int signs_needed(EndpointState& e) const {
-    return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.at(now))), 1, kCloseRun);
+    return std::clamp(static_cast<int>(std::ceil(kEvidence * e.asked.rate(now))), 1, kCloseRun);
   }
   // Where calls fail now and then, everywhere or at this endpoint, a run of failures must be longer to tell
   // an outage. Guards against closing sound endpoints one after the other on a day of stray resets, and for
@@ -771,11 +694,11 @@
   // ---- Messages. ----
   double value(const Message& m, Time t) const {
     if (t >= m.deadline) return 0;
-    if (t <= m.aim) return m.worth;
-    const double late = m.cls->late_weight_fraction, past = seconds(t - m.aim);
+    if (t <= m.objective) return m.weight;
+    const double late = m.message_class->late_weight_fraction, past = seconds(t - m.objective);
     if (set.decay == ValueDecay::exponential)
-      return m.worth * std::max(late, std::exp2(-past / seconds(m.cls->latency_objective)));
-    return m.worth * (1 - (1 - late) * past / std::max(1e-6, seconds(m.deadline - m.aim)));
+      return m.weight * std::max(late, std::exp2(-past / seconds(m.message_class->latency_objective)));
+    return m.weight * (1 - (1 - late) * past / std::max(1e-6, seconds(m.deadline - m.objective)));
   }
   // What waiting one more short aim would lose, and a part of what is there to win. Guards against a backlog
   // served oldest first: those past their aim lose all the time, fresh ones nothing yet, so that every one
@@ -786,13 +709,13 @@
   }
   void on(const event::Arrival& ev) {
     Message& m = messages[ev.id];
-    m.id = ev.id, m.destination = ev.destination, m.key = ev.order_key;
-    m.cls = &set.classes[static_cast<std::size_t>(ev.message_class)];
-    m.deadline = now + ev.time_to_deadline, m.ready = now;
-    m.aim = m.deadline - m.cls->deadline + m.cls->latency_objective;
-    m.worth = m.cls->priority_weight * share_left(ev.tenant);
-    if (!m.cls->ordered) m.key.clear();
-    if (!m.key.empty()) keys[m.key].line.push_back(m.id);
+    m.id = ev.id, m.destination = ev.destination, m.order_key = ev.order_key;
+    m.message_class = &set.classes[static_cast<std::size_t>(ev.message_class)];
+    m.deadline = now + ev.time_to_deadline, m.not_before = now;
+    m.objective = m.deadline - m.message_class->deadline + m.message_class->latency_objective;
+    m.weight = m.message_class->priority_weight * share_left(ev.tenant);
+    if (!m.message_class->ordered) m.order_key.clear();
+    if (!m.order_key.empty()) keys[m.order_key].line.push_back(m.id);
     thin_asked(m);
   }
   // Back from an earlier life. An attempt that may have run bars an unsafe message from all but failing; at
@@ -800,14 +723,16 @@
   void on(const event::MessageRecovered& ev) {
     on(ev.message);
     Message& m = messages.at(ev.message.id);
-    m.sends = ev.attempts_made;
-    m.may_ran_zone = ev.possible_execution_zone, m.may_ran_sent = ev.possible_execution_sent_at;
+    m.attempts_made = ev.attempts_made;
+    m.possible_execution_zone = ev.possible_execution_zone,
+    m.possible_execution_sent_at = ev.possible_execution_sent_at;
     if (ev.in_flight) return take_over(m, *ev.in_flight);
     // It may be running still: what comes behind it in its order waits as after any attempt in doubt.
-    if (!m.key.empty() && m.may_ran_zone) rest(m.key, m.may_ran_sent + set.order_key_quiet_period);
-    if (m.sends > 0) m.ready = now + micros(jittered(least_delay(m)));
-    const bool barred = m.cls->idempotency == Idempotency::none && m.may_ran_zone;
-    if (!barred && m.sends < set.max_attempts && m.ready < latest_send(m)) return;
+    if (!m.order_key.empty() && m.possible_execution_zone)
+      rest(m.order_key, m.possible_execution_sent_at + set.order_key_quiet_period);
+    if (m.attempts_made > 0) m.not_before = now + micros(jittered(least_delay(m)));
+    const bool barred = m.message_class->idempotency == Idempotency::none && m.possible_execution_zone;
+    if (!barred && m.attempts_made < set.max_attempts && m.not_before < latest_send(m)) return;
     finish(m, false);
     forget(messages.find(m.id));
   }
@@ -827,35 +752,30 @@
     const auto [at, fresh] = taken_over.try_emplace(o.call_id, next_call);
     if (fresh) calls[next_call++] = Call{&e, o.sent_at, 0, 0, false}, e.calls.insert(at->second);
     Call& call = calls.at(at->second);
-    call.messages++, call.left++;
-    m.out[o.attempt] = at->second;
-  }
-  std::string learnt() {
-    std::ostringstream all;
-    all << kLearnt << '\n';
-    write_line(all, "relay", static_cast<Overall&>(*this));
-    write_line(all, "thin", thin);
-    for (auto& [id, d] : destinations) write_line(all, "destination " + std::to_string(id), d.target);
-    for (auto& [id, e] : endpoints) write_line(all, "endpoint " + id, e);
-    return all.str();
+    call.message_count++, call.unsettled_count++;
+    m.in_flight[o.attempt] = at->second;
+  }
+  std::string learned_state() {
+    LearnedStateWriter writer;
+    writer.add_line(kRelayLine, static_cast<Overall&>(*this));
+    writer.add_line(kLowRateLine, thin);
+    for (auto& [id, d] : destinations) writer.add_line(kDestinationLine + ' ' + std::to_string(id), d.target);
+    for (auto& [id, e] : endpoints) writer.add_line(kEndpointLine + ' ' + id, e);
+    return writer.text();
   }
   void on(const event::LearnedStateRestored& ev) {
-    std::istringstream all(ev.learned_state);
-    std::string line, what, id;
-    if (!std::getline(all, line) || line != kLearnt) return;
-    while (std::getline(all, line)) {
-      std::istringstream in(line);
-      in >> what;
-      if (what == "relay") {
-        read_line<Overall>(in, *this);
-      } else if (what == "thin") {
-        read_line(in, thin);
-      } else if (what == "destination" && in >> id) {
+    for (const auto& line : parse_learned_state(ev.learned_state)) {
+      if (line.name == kRelayLine) {
+        restore_fields(line, static_cast<Overall&>(*this));
+      } else if (line.name == kLowRateLine) {
+        restore_fields(line, thin);
+      } else if (line.name == kDestinationLine) {
         const auto it = std::find_if(destinations.begin(), destinations.end(),
-                                     [&](const auto& d) { return std::to_string(d.first) == id; });
-        if (it != destinations.end()) read_line(in, it->second.target);
-      } else if (what == "endpoint" && in >> id) {
-        if (const auto it = endpoints.find(id); it != endpoints.end()) read_line(in, it->second);
+                                     [&](const auto& d) { return std::to_string(d.first) == line.subject; });
+        if (it != destinations.end()) restore_fields(line, it->second.target);
+      } else if (line.name == kEndpointLine) {
+        const auto it = endpoints.find(line.subject);
+        if (it != endpoints.end()) restore_fields(line, it->second);
       }
     }
   }
@@ -873,13 +793,14 @@
     return 1;
   }
   bool may_refuse(const Message& m) const {
-    if (m.cls->idempotency == Idempotency::idempotent) return true;
-    if (m.cls->idempotency == Idempotency::by_key && m.cls->key_scope == KeyScope::all) return true;
-    return m.out.empty() && !m.may_ran_zone;
+    if (m.message_class->idempotency == Idempotency::idempotent) return true;
+    if (m.message_class->idempotency == Idempotency::by_key && m.message_class->key_scope == KeyScope::all)
+      return true;
+    return m.in_flight.empty() && !m.possible_execution_zone;
   }
   void finish(Message& m, bool again, Time come_back = 0) {
-    if (m.over) return;
-    m.over = true;
+    if (m.settled) return;
+    m.settled = true;
     const Time soonest = micros(unit * kInitial);
     if (again && may_refuse(m))
       out->push_back(action::Reject{m.id, std::max(std::min(come_back, set.max_retry_after), soonest)});
@@ -889,11 +810,11 @@
   // Forgets a message that is over and has nothing out, and lets the next of its key step up.
   void forget(std::map<MessageId, Message>::iterator it) {
     Message& m = it->second;
-    if (!m.over || !m.out.empty()) return;
-    if (!m.key.empty()) {
-      auto& line = keys[m.key].line;
+    if (!m.settled || !m.in_flight.empty()) return;
+    if (!m.order_key.empty()) {
+      auto& line = keys[m.order_key].line;
       line.erase(std::find(line.begin(), line.end(), m.id));
-      drop_key(m.key);
+      drop_key(m.order_key);
     }
     messages.erase(it);
   }
@@ -927,7 +848,7 @@
   void on(const event::ClientCancelled& ev) {
     auto it = messages.find(ev.id);
     if (it == messages.end()) return;
-    it->second.over = true;
+    it->second.settled = true;
     forget(it);
   }
   void on(const event::TimerExpired&) {
@@ -939,45 +860,45 @@
     auto it = messages.find(ev.id);
     if (it == messages.end()) return;
     Message& m = it->second;
-    auto attempt = m.out.find(ev.attempt);
-    if (attempt == m.out.end()) return;
+    auto attempt = m.in_flight.find(ev.attempt);
+    if (attempt == m.in_flight.end()) return;
     auto call_it = calls.find(attempt->second);
     Call& call = call_it->second;
     EndpointState& e = *call.endpoint;
-    const Time sent = call.sent;
+    const Time sent = call.sent_at;
     Time& wait_until = target_of(e).wait_until;
     if (ev.load_report.rate_limit > 0) target_of(e).limit = ev.load_report.rate_limit;
     if (ev.retry_after > 0) wait_until = std::max(wait_until, now + ev.retry_after);
-    m.out.erase(attempt);
-    const bool last = --call.left == 0;
+    m.in_flight.erase(attempt);
+    const bool last = --call.unsettled_count == 0;
     if (last) e.calls.erase(call_it->first);
     // A call that we gave up in silence is a failure; one that was overtaken says nothing of the endpoint.
     const bool overtaken = ev.outcome == Outcome::cancelled && sent < e.served_at;
-    if (!call.judged && ev.outcome != Outcome::not_sent && !overtaken) {
-      call.judged = true;
+    if (!call.outcome_recorded && ev.outcome != Outcome::not_sent && !overtaken) {
+      call.outcome_recorded = true;
       if (ev.outcome == Outcome::succeeded)
         call_served(e, sent, ev);
       else if (ev.outcome == Outcome::rejected)
         call_refused(e);
       else
-        call_failed(e, ev, call.messages);
+        call_failed(e, ev, call.message_count);
     }
     if (last) calls.erase(call_it), e.used_at = now, ended_at.insert(e.info.id);
 
     const bool never_ran = ev.outcome == Outcome::rejected || ev.outcome == Outcome::connect_failed ||
                            ev.outcome == Outcome::not_sent;
-    if (!never_ran && (!m.may_ran_zone || sent < m.may_ran_sent))
-      m.may_ran_zone = e.info.zone, m.may_ran_sent = sent;
+    if (!never_ran && (!m.possible_execution_zone || sent < m.possible_execution_sent_at))
+      m.possible_execution_zone = e.info.zone, m.possible_execution_sent_at = sent;
     const bool doubt =
         ev.outcome == Outcome::timeout || ev.outcome == Outcome::reset || ev.outcome == Outcome::cancelled;
-    if (doubt && !m.key.empty()) rest(m.key, now + set.order_key_quiet_period);
-    if (ev.message_settled || ev.outcome == Outcome::succeeded) m.over = true;
-    if (!m.over && m.out.empty()) {
+    if (doubt && !m.order_key.empty()) rest(m.order_key, now + set.order_key_quiet_period);
+    if (ev.message_settled || ev.outcome == Outcome::succeeded) m.settled = true;
+    if (!m.settled && m.in_flight.empty()) {
       // A retry waits the jittered D; one that would come too late, or may not be made, ends here.
       const double d = std::max(delay_now(target_of(e)), kLeast * unit);
-      m.ready = now + micros(jittered(d));
-      const bool barred = m.cls->idempotency == Idempotency::none && m.may_ran_zone;
-      if (barred || m.sends >= set.max_attempts || m.ready >= latest_send(m)) finish(m, false);
+      m.not_before = now + micros(jittered(d));
+      const bool barred = m.message_class->idempotency == Idempotency::none && m.possible_execution_zone;
+      if (barred || m.attempts_made >= set.max_attempts || m.not_before >= latest_send(m)) finish(m, false);
     }
     forget(it);
   }
@@ -985,8 +906,9 @@
   Time latest_send(const Message& m) const {
     // Guards against ends that are told too late: a stall of a few rounds just before the deadline.
     Time t = m.deadline - std::max(2 * set.min_round_interval, micros(kLeastLeft * shortest_aim));
-    if (m.cls->idempotency == Idempotency::by_key && m.may_ran_zone)
-      t = std::min(t, m.may_ran_sent + m.cls->idempotency_window - set.min_round_interval);
+    if (m.message_class->idempotency == Idempotency::by_key && m.possible_execution_zone)
+      t = std::min(
+          t, m.possible_execution_sent_at + m.message_class->idempotency_window - set.min_round_interval);
     return t;
   }
 
@@ -1008,8 +930,8 @@
   bool passes(const Message& m, EndpointState& e, Time& when) {
     if (!usable(e)) return false;
     const bool keyed_by_zone =
-        m.cls->idempotency == Idempotency::by_key && m.cls->key_scope == KeyScope::zone;
-    if (keyed_by_zone && m.may_ran_zone && e.info.zone != *m.may_ran_zone) return false;
+        m.message_class->idempotency == Idempotency::by_key && m.message_class->key_scope == KeyScope::zone;
+    if (keyed_by_zone && m.possible_execution_zone && e.info.zone != *m.possible_execution_zone) return false;
     Target& t = target_of(e);
     const Time held = std::max(t.wait_until, t.hold_until);
     if (held > now) return when = std::min(when, held), false;
@@ -1017,16 +939,17 @@
     if (calls.size() >= static_cast<std::size_t>(set.max_calls_in_flight)) return false;
     const Time ready = std::max({budget_ready(e), pace_ready(t), thin_ready(t, m)});
     if (ready > now) return when = std::min(when, ready), false;
-    if (e.health == Health::closed && m.cls->idempotency == Idempotency::none && e.doubt_run && now < m.aim) {
+    if (e.health == Health::closed && m.message_class->idempotency == Idempotency::none && e.doubt_run &&
+        now < m.objective) {
       // A trial call that may be lost is no place for a message that can't be repeated.
-      return when = std::min(when, m.aim), false;
+      return when = std::min(when, m.objective), false;
     }
     return static_cast<int>(e.calls.size()) < call_limit(e);
   }
   bool room_in_call(const EndpointState& e) const {
     if (e.open_call == 0) return false;
     auto it = calls.find(e.open_call);
-    return it != calls.end() && it->second.sent == now && it->second.messages < e.bundle;
+    return it != calls.end() && it->second.sent_at == now && it->second.message_count < e.bundle;
   }
   // Bulkhead: one endpoint's calls out, so that a silent or slow one can't hold the slots of the rest.
   int call_limit(EndpointState& e) {
@@ -1038,7 +961,7 @@
     const double most = late > 0 || e.fail_run > 0
                             ? std::max(1.0, set.max_calls_in_flight * kDoubtSlots)
                             : std::max(1.0, std::ceil(set.max_calls_in_flight * kTargetSlots));
-    double limit = std::min(most, kBaseCalls + 3 * e.served.at(now) * e.latency);
+    double limit = std::min(most, kBaseCalls + 3 * e.served.rate(now) * e.latency);
     if (e.call_cap > 0) limit = std::min<double>(limit, e.call_cap);
     return std::max(1, static_cast<int>(limit));
   }
@@ -1058,17 +981,17 @@
   }
   bool try_send(Message& m) {
     Time when = kNever;
-    if (m.sends >= set.max_attempts || now >= latest_send(m)) return false;
+    if (m.attempts_made >= set.max_attempts || now >= latest_send(m)) return false;
     if (first_list_by > 0) {
       if (now < first_list_by) return wake_by(first_list_by), false;
       log("no list yet: serving by the one of an earlier life");
       first_list_by = 0;
     }
-    if (!m.key.empty()) {
-      const KeyLine& k = keys[m.key];
+    if (!m.order_key.empty()) {
+      const KeyLine& k = keys[m.order_key];
       const bool own_turn = k.line.front() == m.id;
       if (!own_turn) return false;
-      if (m.sends == 0 && now < k.rest_until) return wake_by(k.rest_until), false;
+      if (m.attempts_made == 0 && now < k.rest_until) return wake_by(k.rest_until), false;
     }
     EndpointState* best = nullptr;
     double best_price = 0;
@@ -1093,7 +1016,7 @@
       e.open_call = next_call++;
       calls[e.open_call] = Call{&e, now, 0, 0, false};
       e.calls.insert(e.open_call);
-      if (e.health == Health::open && m.sends == 0) e.asked.add(now);
+      if (e.health == Health::open && m.attempts_made == 0) e.asked.add_event(now);
       if (e.used_at > -kNever)
         e.use_gap += kGapGain * (std::min(seconds(now - e.used_at), kMostGap) - e.use_gap);
       e.used_at = now;
@@ -1104,13 +1027,16 @@
       if (overdue(e) > 0) drop_idle(e);
     }
     Call& call = calls[e.open_call];
-    call.messages++, call.left++;
-    const bool unsafe = m.cls->idempotency == Idempotency::none;
-    const double aims = seconds(m.cls->latency_objective) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
+    call.message_count++, call.unsettled_count++;
+    const bool unsafe = m.message_class->idempotency == Idempotency::none;
+    const double aims =
+        seconds(m.message_class->latency_objective) * (unsafe ? kUnsafeTimeoutAims : kSafeTimeoutAims);
     const Time timeout = std::min(micros(std::max(aims, kTimeoutTimes * e.latency)), m.deadline - now);
-    m.out[m.sends++] = e.open_call;
+    m.in_flight[m.attempts_made++] = e.open_call;
     // Guards against a connection that comes up when the key is forgotten: the message would run twice.
-    const Time begin = m.cls->idempotency == Idempotency::by_key && m.may_ran_zone ? latest_send(m) - now : 0;
+    const Time begin = m.message_class->idempotency == Idempotency::by_key && m.possible_execution_zone
+                           ? latest_send(m) - now
+                           : 0;
     out->push_back(action::Send{m.id, e.info.id, timeout, begin});
   }
 
@@ -1119,20 +1045,21 @@
   // while slots are short, sooner, also those since whose send nothing was served there. Unsafe messages,
   // which it loses, have an aim's time first. May cut a call that is merely heavy.
   void give_up(Message& m, bool slots_short) {
-    const auto [attempt, call_id] = *m.out.begin();
+    const auto [attempt, call_id] = *m.in_flight.begin();
     const Call& call = calls[call_id];
-    const bool unsafe = m.cls->idempotency == Idempotency::none,
-               overtaken = call.sent < call.endpoint->served_sent;
-    const bool silent = call.sent >= call.endpoint->served_at;  // answers to earlier calls: slow, at work
-    if (m.gave_up == attempt || !(overtaken || (slots_short && silent))) return;
-    const double least = unsafe ? seconds(m.cls->latency_objective) : 0;
+    const bool unsafe = m.message_class->idempotency == Idempotency::none,
+               overtaken = call.sent_at < call.endpoint->served_sent;
+    const bool silent = call.sent_at >= call.endpoint->served_at;  // answers to earlier calls: slow, at work
+    if (m.cancelled_attempt == attempt || !(overtaken || (slots_short && silent))) return;
+    const double least = unsafe ? seconds(m.message_class->latency_objective) : 0;
     const double times = slots_short ? kOverdueTimes : kTimeoutTimes;
     double after = times * call.endpoint->latency + kOverdueMore;
     // Later it is worth less; but where all destinations answer slowly, patience is cheaper than cutting.
-    if (slots_short) after = std::min(after, seconds(m.cls->latency_objective)) * std::max(1.0, slowness);
-    const Time due = call.sent + micros(std::max(least, after));
+    if (slots_short)
+      after = std::min(after, seconds(m.message_class->latency_objective)) * std::max(1.0, slowness);
+    const Time due = call.sent_at + micros(std::max(least, after));
     if (now < due) return wake_by(due);
-    m.gave_up = attempt;
+    m.cancelled_attempt = attempt;
     out->push_back(action::Cancel{m.id, attempt});
   }
 
@@ -1143,9 +1070,9 @@
     std::size_t held = 0;
     const bool slots_short = calls.size() >= static_cast<std::size_t>(set.max_calls_in_flight);
     for (auto& [id, m] : messages) {
-      if (m.over) continue;
+      if (m.settled) continue;
       held++;
-      const bool in_flight = !m.out.empty();
+      const bool in_flight = !m.in_flight.empty();
       const Time last = in_flight ? m.deadline - 2 * set.min_round_interval : latest_send(m);
       if (now >= last) {
         finish(m, false);
@@ -1160,8 +1087,8 @@
       if (const Time until = barred_until(m); until < kNever) {
         finish(m, true, until - now);
         ended.push_back(id);
-      } else if (m.ready > now)
-        wake_by(m.ready);
+      } else if (m.not_before > now)
+        wake_by(m.not_before);
       else
         waiting.emplace_back(urgency(m, now + micros(kFirstLatency)), &m);
     }
@@ -1210,7 +1137,7 @@
          s.resting.size() + s.suspended.size();
 }
 
-std::string Dispatcher::learned_state() const { return state_->learnt(); }
+std::string Dispatcher::learned_state() const { return state_->learned_state(); }
 
 std::size_t Dispatcher::ejected_endpoint_count() const {
   const auto& all = state_->endpoints;
