Write log lines as event, subject and cause

Cause: lines such as "closed X: its siblings fail" or "warm X" need the code beside them to be read. Change: endpoint_ejected, endpoint_slow_start and endpoint_healthy with endpoint= and cause=; endpoint_list_cached_in_use. The test that waits for "closed s-1: no connection" waits for "endpoint_ejected endpoint=s-1 cause=connect_failed".

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -457,7 +457,7 @@
       // Each relay starts anywhere between two of its trials, else those of many would come together.
       e.expected_rate = expected_rate(e), e.slow_start_tokens = uniform(), e.slow_start_tokens_at = now;
     }
-    if (e.health != HealthState::ejected) log("closed " + e.info.id + ": " + why);
+    if (e.health != HealthState::ejected) log("endpoint_ejected endpoint=" + e.info.id + " cause=" + why);
     e.health = HealthState::ejected;
     e.health_changed_at = now;
     e.next_probe_at = now + probe_gap(e);
@@ -493,7 +493,8 @@
       const bool warm = e.health == HealthState::slow_start;
       e.health = warm ? HealthState::healthy : HealthState::slow_start, e.health_changed_at = now;
       if (warm) e.consecutive_failures = 0, e.failure_share = 0;
-      log((warm ? "warm " : "forgotten ") + e.info.id);
+      log(warm ? "endpoint_healthy endpoint=" + e.info.id + " cause=slow_start_complete"
+               : "endpoint_slow_start endpoint=" + e.info.id + " cause=ejection_expired");
       if (warm) return now;
     }
     const Time end = e.health_changed_at + health_span();
@@ -530,7 +531,9 @@
       // other as their trials fall due, would start their ramps seconds late.
       e.health_changed_at = e.health == HealthState::slow_start ? now - (now - e.health_changed_at) / 2 : now;
       e.slow_start_tokens_at = now;
-      log((e.health == HealthState::healthy ? "slow " : "ramp ") + e.info.id);
+      log(e.health == HealthState::healthy
+              ? "endpoint_healthy endpoint=" + e.info.id + " cause=late_answer"
+              : "endpoint_slow_start endpoint=" + e.info.id + " cause=probe_succeeded");
     }
     for (; e.isolated_failures > 0; e.isolated_failures--) {
       isolated_failure_share += kIsolatedFailureGain * (1 - isolated_failure_share);
@@ -556,10 +559,10 @@
     if (!shut && e.health == HealthState::healthy) return;
     e.consecutive_failures = std::max(e.consecutive_failures, 1);
     if (e.independent_route)
-      return shut || e.health == HealthState::ejected ? eject(e, "refuses all") : void();
+      return shut || e.health == HealthState::ejected ? eject(e, "all_rejected") : void();
     for (auto* other : destinations[e.info.destination].endpoints)
       if (shut || other->health == HealthState::ejected)
-        other->consecutive_failures++, eject(*other, "refuses all");
+        other->consecutive_failures++, eject(*other, "all_rejected");
   }
   // Where this relay calls seldom, fewer signs must do, else each relay's would come too late.
   int failures_needed(EndpointState& e) const {
@@ -611,9 +614,9 @@
     const double most_fail = kMaxFailureShare + (chance > 1 ? isolated_failure_share_at(e) : 0);
     if (e.consecutive_failures >= few || e.consecutive_failures + overdue(e) >= run ||
         e.failure_share > most_fail)
-      eject(e, ev.outcome == Outcome::connect_failed ? "no connection"
+      eject(e, ev.outcome == Outcome::connect_failed ? "connect_failed"
                : ev.outcome == Outcome::error        ? "errors"
-                                                     : "silent");
+                                                     : "no_answer");
     // Endpoints that share a limit mostly go out together: as many signs at any of them as close one close
     // all. Fewer where this relay calls seldom; in larger fleets for silence too, which is told late.
     const bool silent = ev.outcome == Outcome::timeout || ev.outcome == Outcome::cancelled;
@@ -623,7 +626,7 @@
     for (auto* other : destinations[e.info.destination].endpoints)
       // One that has answered since this call was sent is at work.
       if (other->health == HealthState::healthy && other->served_at <= now - ev.latency)
-        other->consecutive_failures++, eject(*other, "its siblings fail");
+        other->consecutive_failures++, eject(*other, "sibling_failures");
   }
   // Guards against unsafe messages lost in silence: a fresh connection fails provably, an old one doesn't.
   void close_idle_connections(EndpointState& e) {
@@ -704,7 +707,7 @@
     e.health = HealthState::slow_start, e.health_changed_at = e.slow_start_tokens_at = now,
     e.slow_start_tokens = uniform();
     e.consecutive_failures = 0, e.failure_share = 0;
-    log("cold " + ev.endpoint);
+    log("endpoint_slow_start endpoint=" + ev.endpoint + " cause=operator_resumed");
   }
   // Lost by all relays at once, it is asked for again by one after the other; the longer it turns callers
   // away, the rarer. What is known serves meanwhile. Where lists are pushed what it misses binds at once, and
@@ -1055,7 +1058,7 @@
     if (m.attempts_made >= settings.max_attempts || now >= latest_send_time(m)) return false;
     if (wait_for_list_until > 0) {
       if (now < wait_for_list_until) return wake_up_at(wait_for_list_until), false;
-      log("no list yet: serving by the one of an earlier life");
+      log("endpoint_list_cached_in_use cause=no_list_received");
       wait_for_list_until = 0;
     }
     if (!m.order_key.empty()) {
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -137,7 +137,11 @@
   members = member("s-1", own_address() + ":" + port_of);
   start();
   EXPECT_EQ(hand_in("m1", kUnsafe, "x", "24000m"), 202u);
-  wait_for([&] { return logged().find("closed s-1: no connection") != std::string::npos; }, "connects fail");
+  wait_for(
+      [&] {
+        return logged().find("endpoint_ejected endpoint=s-1 cause=connect_failed") != std::string::npos;
+      },
+      "connects fail");
   members = member("s-1", endpoint.address());  // the same endpoint, found elsewhere
   tell(list(members));
   wait_for([&] { return !endpoint.got.empty(); }, "the call");
