Let the handover tests upgrade from another build of the program

Cause: the handover tests ran one program on both sides, so a change of the exchanged form went unnoticed. Change: the first process of an upgrade runs PREVIOUS_RELAY_PROGRAM, set by the CMake cache variable MESSAGE_RELAY_PREVIOUS_PROGRAM; unset, it is the program just built, as before. Where the test plays the owner itself, the program that asks is the one just built.

--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -1,5 +1,8 @@
 // One process takes over from another on the same folder. The real program meets itself, or a stand-in that
 // leaves at each step of the handover.
+//
+// The first process of an upgrade runs PREVIOUS_RELAY_PROGRAM, by default the program just built. Configured
+// with MESSAGE_RELAY_PREVIOUS_PROGRAM, these tests play upgrades from an earlier build.
 #include "handover.hpp"
 
 #include <fcntl.h>
@@ -21,12 +24,14 @@
 
 class HandoverTest : public RelayTest {
  protected:
+  HandoverTest() { program = PREVIOUS_RELAY_PROGRAM; }
   ~HandoverTest() override {
     if (first > 0) ::kill(first, SIGKILL), ::waitpid(first, nullptr, 0);
   }
-  // A second process next to the running one, which becomes `first`.
+  // A second process, of the program just built, next to the running one, which becomes `first`.
   void start_beside() {
     first = child;
+    program = MESSAGE_RELAY_PROGRAM;
     spawn(config());
   }
   void wait_first_ends() {
@@ -267,6 +272,7 @@
 
 // Whatever the step at which the owner is killed, the one that asks starts as after any restart.
 TEST_F(HandoverTest, AnOwnerThatIsKilledAtAnyStepLeavesTheFolder) {
+  program = MESSAGE_RELAY_PROGRAM;  // here the test plays the owner, and the program asks
   for (int step = 0; step < 4; step++) {
     FileDescriptor listening(::socket(AF_UNIX, SOCK_STREAM, 0));
     const auto at = address();
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -229,7 +229,7 @@
       ::setenv("LB_CONFIG", (folder + "/config.json").c_str(), 1);
       ::setenv("LB_STATE", (folder + "/state").c_str(), 1);
       if (std::freopen((folder + "/log").c_str(), "a", stderr) == nullptr) ::_exit(126);
-      ::execl(MESSAGE_RELAY_PROGRAM, MESSAGE_RELAY_PROGRAM, static_cast<char*>(nullptr));
+      ::execl(program.c_str(), program.c_str(), static_cast<char*>(nullptr));
       ::_exit(127);
     }
   }
@@ -349,9 +349,10 @@
   std::string folder, members, finals;
   std::uint16_t port = 0;
   int workers = 8, relays = 1;
-  std::string list_mode = "subscribe";  // how the settings say that changes of the list come
-  std::string more_classes;             // each behind a comma
-  std::string more;                     // further members of the configuration
+  std::string list_mode = "subscribe";          // how the settings say that changes of the list come
+  std::string more_classes;                     // each behind a comma
+  std::string more;                             // further members of the configuration
+  std::string program = MESSAGE_RELAY_PROGRAM;  // that spawn() runs
   pid_t child = -1;
   rlim_t largest_file = 0;    // that the program may write; 0: any
   rlim_t most_files = 0;      // descriptors that the system lets it hold, none from here; 0: as the test
