Split the relay by concern

Cause: relay.cpp was one class of 45 fields that decided, recorded, recovered, answered operators, drained and handed over. Change: each concern is a class of its own with its invariant, and gets what it needs by argument. admission (what is taken on), event_queue (events and the rounds' timer), decision_round and plan_builder (decisions and their records), write_ahead and plan_executor (records before actions), message_registry (ids and the one point of completion), endpoint_directory (what is and was listed), recovery, readiness, operator_commands, graceful_shutdown, upgrade, journal_compactor. Relay wires them and reacts to endpoints and the platform. Order of records, events and actions, log lines and replies are unchanged.

--- /dev/null
+++ b/relay/admission.cpp
@@ -0,0 +1,74 @@
+#include "admission.hpp"
+
+#include <utility>
+
+#include "client_responses.hpp"
+
+namespace message_relay {
+
+Admission::Admission(std::size_t max_open_messages, const Journal& journal,
+                     const WriteAheadQueue& write_ahead, const MessageRegistry& registry,
+                     const EndpointDirectory& directory, Metrics& metrics, EventQueue& events)
+    : max_open_messages_(max_open_messages),
+      journal_(journal),
+      write_ahead_(write_ahead),
+      registry_(registry),
+      directory_(directory),
+      metrics_(metrics),
+      events_(events) {}
+
+void Admission::submit(Message message, ResponseCallback respond) {
+  if (const auto first = duplicates_.find(message.id); first != duplicates_.end()) {
+    first->second.push_back(std::move(respond));
+    return;
+  }
+  // Handed in once more on a new connection, since the response was lost. A completed one must not be sent
+  // again either.
+  if (registry_.is_known(message.id)) {
+    respond(kAccepted);
+    return;
+  }
+  if (!directory_.knows_destination(message.destination)) {
+    // Before discovery has sent its list, the destination may only be unknown yet.
+    if (directory_.list_received())
+      respond(kUnknownDestination);
+    else
+      reject(message.message_class, respond);
+    return;
+  }
+  if (!has_capacity_for(message)) {
+    reject(message.message_class, respond);
+    return;
+  }
+  respond = respond_to_all(message.id, std::move(respond));
+  pending_bytes_ += Journal::reserved_bytes(message);
+  pending_.push_back({std::move(message), std::move(respond)});
+  events_.request_round();
+}
+
+std::vector<PendingMessage> Admission::take_pending() {
+  pending_bytes_ = 0;
+  return std::exchange(pending_, {});
+}
+
+void Admission::reject(const std::string& message_class, const ResponseCallback& respond) {
+  metrics_.count(message_class, Completion::declined);
+  respond(kTemporarilyRejected);
+}
+
+bool Admission::has_capacity_for(const Message& message) const {
+  const std::size_t open_messages = pending_.size() + journal_.unanswered_count();
+  return open_messages < max_open_messages_ && write_ahead_.journal_writable() &&
+         journal_.has_capacity_for(message, pending_bytes_);
+}
+
+ResponseCallback Admission::respond_to_all(const std::string& id, ResponseCallback respond) {
+  duplicates_[id];
+  return [this, id, respond = std::move(respond)](const ClientResponse& response) {
+    respond(response);
+    const auto duplicates = duplicates_.extract(id);
+    for (const auto& respond_to_duplicate : duplicates.mapped()) respond_to_duplicate(response);
+  };
+}
+
+}  // namespace message_relay
--- /dev/null
+++ b/relay/arrival_event.cpp
@@ -0,0 +1,18 @@
+#include "arrival_event.hpp"
+
+namespace message_relay {
+
+dispatch::event::Arrival to_arrival(MessageId id, const Message& message,
+                                    const configuration::SettingNames& names) {
+  dispatch::event::Arrival arrival;
+  arrival.id = id;
+  arrival.destination = message.destination;
+  arrival.message_class = names.classes.at(message.message_class);
+  arrival.tenant = configuration::index_of(names.tenants, message.tenant);
+  arrival.time_to_deadline = message.deadline - wall_now();
+  arrival.resubmitted = message.resubmitted;
+  arrival.order_key = message.order_key;
+  return arrival;
+}
+
+}  // namespace message_relay
--- a/relay/clock.hpp
+++ b/relay/clock.hpp
@@ -1,6 +1,8 @@
-// The two clocks: intervals run on the steady one, what outlasts the process is written in wall time.
+// The two clocks. Intervals run on the steady one; what outlasts the process is written in wall time. All
+// times are in microseconds.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 #include "dispatch/dispatcher.hpp"
@@ -20,4 +22,9 @@
       .count();
 }
 
+// For timers: a time that has passed already is no wait.
+inline std::chrono::microseconds to_duration(Time time) {
+  return std::chrono::microseconds(std::max<Time>(time, 0));
+}
+
 }  // namespace message_relay
--- a/relay/completed_ids.hpp
+++ b/relay/completed_ids.hpp
@@ -27,7 +27,7 @@
     for (const auto& [until, id] : all)
       if (ids_.insert(id).second) order_.emplace_back(until, id);
   }
-  bool contains(const std::string& id) const { return ids_.count(id) > 0; }
+  bool contains(const std::string& id) const { return ids_.contains(id); }
   std::size_t size() const { return ids_.size(); }
 
  private:
--- a/relay/endpoint_list.cpp
+++ b/relay/endpoint_list.cpp
@@ -22,6 +22,10 @@
   return {address, port};
 }
 
+std::string format_address(const boost::asio::ip::tcp::endpoint& address) {
+  return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 EndpointList read_endpoint_list(const JsonValue& v, const std::string& path, const SettingNames& names) {
   as_object(v, path);
   EndpointList list;
--- a/relay/endpoint_list.hpp
+++ b/relay/endpoint_list.hpp
@@ -27,5 +27,7 @@
 
 // "127.0.0.1:8081"; throws FieldError naming `path`.
 boost::asio::ip::tcp::endpoint read_address(const std::string& text, const std::string& path);
+// The form that read_address() reads, for IPv4.
+std::string format_address(const boost::asio::ip::tcp::endpoint& address);
 
 }  // namespace message_relay
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -48,10 +48,6 @@
   ::setsockopt(socket, SOL_SOCKET, which, &time, sizeof time);
 }
 
-std::string text_of(const net::ip::tcp::endpoint& e) {
-  return e.address().to_string() + ":" + std::to_string(e.port());
-}
-
 BinaryWriter part(Part kind) { return BinaryWriter().number(kind); }
 
 std::string state_part(const HandoverState& e) {
@@ -65,7 +61,7 @@
   for (const auto& m : e.endpoint_list.entries) {
     const auto& x = m.endpoint;
     p.text(x.id).number(x.destination).number(x.zone).number(x.kind).number(x.status).number(x.weight);
-    p.number(x.added_at).text(text_of(m.address));
+    p.number(x.added_at).text(format_address(m.address));
   }
   p.number(static_cast<std::uint32_t>(e.ever_listed.size()));
   for (const auto& id : e.ever_listed) p.text(id);
@@ -100,7 +96,11 @@
 
 std::string call_part(const InFlightCall& c) {
   BinaryWriter p = part(kCall);
-  p.text(c.endpoint).text(text_of(c.address)).number(c.sent_at).number(c.response_due).text(c.response_bytes);
+  p.text(c.endpoint)
+      .text(format_address(c.address))
+      .number(c.sent_at)
+      .number(c.response_due)
+      .text(c.response_bytes);
   p.number(static_cast<std::uint32_t>(c.messages.size()));
   for (std::size_t i = 0; i < c.messages.size(); i++) {
     const auto& m = c.messages[i];
--- /dev/null
+++ b/relay/plan_builder.cpp
@@ -0,0 +1,87 @@
+#include "plan_builder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "client_responses.hpp"
+
+namespace message_relay {
+
+namespace {
+
+constexpr int kUnknownZone = -1;
+
+ClientResponse response_of(const FinalAnswer& answer) {
+  return answer.retryable ? ClientResponse{503, answer.retry_after} : kFailed;
+}
+
+}  // namespace
+
+PlanBuilder::PlanBuilder(Journal& journal, MessageRegistry& registry, const EndpointDirectory& directory,
+                         const dispatch::Settings& settings, Time now)
+    : journal_(journal), registry_(registry), directory_(directory), settings_(settings), now_(now) {}
+
+void PlanBuilder::await_decision(MessageId id, ResponseCallback respond) {
+  undecided_[id] = std::move(respond);
+}
+
+void PlanBuilder::send(const dispatch::action::Send& send) {
+  const auto entry = journal_.messages().find(send.id);
+  if (entry == journal_.messages().end() || entry->second.final_answer) return;
+  const dispatch::Endpoint* endpoint = directory_.find(send.endpoint);
+  OutgoingMessage message = outgoing_message(send, entry->second);
+  journal_.record_attempt(send.id, wall_now(), endpoint == nullptr ? kUnknownZone : endpoint->zone);
+  add_to_call(send.endpoint, max_batch_size(endpoint), std::move(message));
+}
+
+OutgoingMessage PlanBuilder::outgoing_message(const dispatch::action::Send& send,
+                                              const JournaledMessage& journaled) const {
+  const Message& message = journaled.message;
+  OutgoingMessage outgoing;
+  outgoing.id = send.id;
+  outgoing.attempt = static_cast<int>(journaled.attempts.size());
+  outgoing.timeout = send.timeout;
+  outgoing.client_id = message.id;
+  outgoing.body = message.body;
+  outgoing.idempotency_key = message.idempotency_key;
+  outgoing.time_to_deadline = message.deadline - wall_now() - 2 * settings_.min_round_interval;
+  if (send.start_within > 0) outgoing.start_by = now_ + send.start_within;
+  return outgoing;
+}
+
+std::size_t PlanBuilder::max_batch_size(const dispatch::Endpoint* endpoint) const {
+  const auto kind = endpoint == nullptr ? std::size_t{0} : static_cast<std::size_t>(endpoint->kind);
+  return kind < settings_.kinds.size() ? static_cast<std::size_t>(settings_.kinds[kind].max_batch_size) : 1;
+}
+
+void PlanBuilder::add_to_call(const EndpointId& endpoint, std::size_t max_messages, OutgoingMessage message) {
+  const auto call = std::find_if(plan_.calls.begin(), plan_.calls.end(), [&](const PlannedCall& planned) {
+    return planned.endpoint == endpoint && planned.messages.size() < max_messages;
+  });
+  if (call != plan_.calls.end()) {
+    call->messages.push_back(std::move(message));
+    return;
+  }
+  plan_.calls.push_back({endpoint, {}});
+  plan_.calls.back().messages.push_back(std::move(message));
+}
+
+void PlanBuilder::give_up(MessageId id, const FinalAnswer& answer) {
+  const auto entry = journal_.messages().find(id);
+  if (entry == journal_.messages().end() || entry->second.final_answer) return;
+  if (auto undecided = undecided_.extract(id)) {
+    plan_.answers.push_back({std::nullopt, std::move(undecided.mapped()), response_of(answer)});
+    registry_.complete(id, completion_of(answer), ClientView::rejected);
+    return;
+  }
+  journal_.record_final_answer(id, answer);
+  plan_.final_notices.push_back(id);
+}
+
+Plan PlanBuilder::finish() && {
+  for (auto& [id, respond] : undecided_) plan_.answers.push_back({id, std::move(respond), kAccepted});
+  undecided_.clear();
+  return std::move(plan_);
+}
+
+}  // namespace message_relay
--- a/relay/relay.hpp
+++ b/relay/relay.hpp
@@ -1,137 +1,105 @@
-// The round: gathers what has come in, lets the dispatcher decide, carries out its actions.
+// One relay: wires its parts together, recovers what earlier processes left, and reacts to endpoints and the
+// platform.
 //
-// No decision is made here and no action is taken before its record stands in the journal.
+// Invariant: no action on a message is taken before its record stands in the journal.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <functional>
-#include <map>
 #include <optional>
-#include <set>
-#include <string>
-#include <unordered_map>
 #include <vector>
 
-#include "completed_ids.hpp"
+#include "admission.hpp"
 #include "config.hpp"
+#include "decision_round.hpp"
 #include "delivery_client.hpp"
 #include "dispatch/dispatcher.hpp"
+#include "endpoint_directory.hpp"
+#include "event_queue.hpp"
 #include "gossip_channel.hpp"
+#include "graceful_shutdown.hpp"
 #include "handover.hpp"
 #include "ingress_server.hpp"
 #include "journal.hpp"
+#include "journal_compactor.hpp"
+#include "message_registry.hpp"
 #include "metrics.hpp"
+#include "operator_commands.hpp"
 #include "operator_server.hpp"
+#include "plan_executor.hpp"
 #include "platform.hpp"
+#include "readiness.hpp"
+#include "upgrade.hpp"
+#include "write_ahead.hpp"
 
 namespace message_relay {
 
 class Relay {
  public:
-  // Takes back what an earlier life left in the folder, goes on with what another process handed over, then
-  // listens.
-  Relay(boost::asio::io_context& io, const Config& config, StartupOwnership possession);
+  // Recovers from the state folder, goes on with what another process handed over, then listens. Throws
+  // std::system_error where the state folder or an address can't be used.
+  Relay(boost::asio::io_context& io, const Config& config, StartupOwnership ownership);
 
-  // Takes over what may change while the relay runs: where discovery is found.
+  // Applies what may change while the relay runs: the address of discovery.
   void reconfigure(const Config& config);
-  // Answers clients on, lets calls out come home, then calls `done`, within kDrainMost.
+  // Shuts down gracefully, then calls `done`, within 3 s.
   void stop(std::function<void()> done);
 
  private:
-  struct Answered {
-    MessageId id;  // 0: of none that is held
-    ResponseCallback reply;
-    ClientResponse answer;
-  };
-  // What a round decided, to be done once its records stand.
-  struct Plan {
-    std::vector<Answered> answers;
-    std::vector<std::pair<EndpointId, std::vector<OutgoingMessage>>> calls;
-    std::vector<MessageId> endings;
-  };
-  struct Arrived {
-    Message message;
-    ResponseCallback reply;
-  };
-
+  // ---- Start. ----
+  void load_cached_list(const EndpointList& list);
+  void restore_inherited(const HandoverState& state);
   void recover(const std::vector<InFlightCall>& calls);
-  void take_over(const HandoverState& estate);
-  boost::asio::ip::tcp::acceptor listener() const;
-  // Once nothing is under way in this process, or soon: all to the process that asks, and the end of this
-  // one.
-  void hand_over();
-  HandoverState estate();
-  void arrive(Message message, ResponseCallback reply);
-  void ended(const dispatch::event::AttemptEnded& e);
-  void listed(EndpointList list);
-  static void log_list(const EndpointList& list);
-  template <class E>
-  void happened(E event) {
-    events_.emplace_back(std::move(event));
-    schedule();
-  }
-  void schedule();
-  void round();
-  void decide(Plan& plan);
-  void carry_out(Plan plan);
-  void settle();
-  void noticed(MessageId id);
-  void over(MessageId id, std::optional<Completion> end, bool was_taken_on = true);
-  // What operators ask for; the reply.
-  std::string operate(const OperatorCommand& call);
-  std::string status() const;
-  std::string suspend(const EndpointId& id, bool on);
-  std::string pause(bool on);
-  std::string figures() const;
-  void leave(const EndpointId& endpoint);
-  ResponseCallback shared(const std::string& id, ResponseCallback reply);
-  void send(Plan& plan, const dispatch::action::Send& a);
-  void finish(Plan& plan, MessageId id, const FinalAnswer& ending);
-  void set_timer(Time after, std::uint64_t token);
-  void arm_timers();
-  void hold_back(const EndpointId& endpoint);
-  void compact();
-  void check_drained();
-  bool ready() const;
-  dispatch::event::Arrival arrival(MessageId id, const Message& m) const;
+  void listen_for_clients();
+  void adopt_inherited_clients();
+  void listen_for_successors();
+  void listen_for_operators();
+  // The listening socket of the process handed over from, which never stops listening; else a new one.
+  [[nodiscard]] boost::asio::ip::tcp::acceptor client_acceptor() const;
+
+  // ---- What endpoints and the platform report. ----
+  void on_attempt_ended(const dispatch::event::AttemptEnded& ended);
+  void on_endpoint_list(const EndpointList& list);
+  void on_notices_confirmed(const std::vector<MessageId>& ids);
+  void complete_noticed(MessageId id);
+
+  // Sends nothing new to an endpoint, also not by connections that still come up.
+  void stop_using(const EndpointId& endpoint);
 
   boost::asio::io_context& io_;
   const Config& config_;
-  StartupOwnership possession_;
+  StartupOwnership ownership_;
+
+  // State.
   Journal journal_;
   dispatch::Dispatcher dispatcher_;
-  DeliveryClient calls_;
+  Metrics metrics_;
+  MessageRegistry registry_;
+  EndpointDirectory directory_;
+
+  // Connections to others.
+  DeliveryClient delivery_;
   Platform platform_;
-  std::optional<GossipChannel> peers_;
+  std::optional<GossipChannel> gossip_;  // where one is configured
 
-  std::map<EndpointId, dispatch::Endpoint> endpoints_;
-  std::unordered_map<std::string, MessageId> numbers_;  // of the messages held, by the client's id
-  std::map<MessageId, ResponseCallback> unanswered_;    // taken in this round
-  // Ids that wait for their answer, with those that handed the same one in meanwhile.
-  std::unordered_map<std::string, std::vector<ResponseCallback>> twins_;
-  Metrics figures_;
-  CompletedIds recent_;  // taken on and over
-  std::set<EndpointId> ever_listed_;
-  std::set<std::int64_t> destinations_;  // that any list has named
-  bool list_told_ = false;               // by discovery, in this life
-  MessageId next_number_ = 1;
-  std::vector<Arrived> arrived_;
-  std::uint64_t arrived_cost_ = 0;
-  std::vector<dispatch::Event> events_;
-  std::multimap<Time, std::uint64_t> timers_;
-  std::vector<Plan> stalled_;  // waiting for their records to stand
-  Time last_round_ = 0, stop_at_ = 0;
-  bool unwritten_ = false;  // the journal could not be written
-  bool round_due_ = false, compacting_ = false, stopping_ = false, frozen_ = false;
-  bool paused_ = false;  // by operators: clients are sent away
-  boost::asio::steady_timer round_timer_, module_timer_, stall_timer_, drain_timer_, handover_timer_;
-  std::optional<HandoverChannel> successor_;  // asks to take over
-  Time asked_at_ = 0;
-  std::function<void()> done_;
-  std::optional<IngressServer> intake_;  // these last: they listen once all else stands
-  std::optional<OperatorServer> operators_;
+  // Decisions and their effects.
+  EventQueue events_;
+  DispatcherTimers timers_;
+  PlanExecutor executor_;
+  WriteAheadQueue write_ahead_;
+  Readiness readiness_;
+  Admission admission_;
+  JournalCompactor compactor_;
+  DecisionRound round_;
+
+  // Set by the constructor once all else stands: they listen at once.
+  std::optional<IngressServer> ingress_;
+  std::optional<GracefulShutdown> shutdown_;
+  std::optional<Upgrade> upgrade_;
   std::optional<HandoverListener> successors_;
+  std::optional<OperatorCommands> operator_commands_;
+  std::optional<OperatorServer> operators_;
 };
 
 }  // namespace message_relay
