Word the relay's log lines in the terms of the field

Cause: lines said "by hand", "calls out", "leaving", "taking nothing on". Change: lines name the event, its subject and its cause: operator, calls in flight, draining or removed, open messages, rejecting. Operators' replies and metrics are unchanged. docs/operations.md still quotes some old lines.

--- a/relay/endpoint_directory.cpp
+++ b/relay/endpoint_directory.cpp
@@ -106,8 +106,8 @@
   for (const auto& entry : list.entries)
     if (entry.endpoint.status != EndpointStatus::active) unavailable += " " + entry.endpoint.id;
   log("discovery: version " + std::to_string(list.version) + ", " +
-      (list.is_snapshot ? "whole, " : "changes, ") + std::to_string(list.entries.size()) + " endpoints" +
-      (unavailable.empty() ? "" : "; leaving:" + unavailable));
+      (list.is_snapshot ? "snapshot, " : "update, ") + std::to_string(list.entries.size()) + " endpoints" +
+      (unavailable.empty() ? "" : "; draining or removed:" + unavailable));
 }
 
 }  // namespace message_relay
--- a/relay/graceful_shutdown.cpp
+++ b/relay/graceful_shutdown.cpp
@@ -21,7 +21,7 @@
 void GracefulShutdown::begin(std::function<void()> done) {
   if (parts_.readiness.stopping()) return;
   parts_.readiness.set_stopping();
-  log("stopping: " + std::to_string(parts_.journal.messages().size()) + " messages held");
+  log("stopping: " + std::to_string(parts_.journal.messages().size()) + " open messages");
   done_ = std::move(done);
   started_at_ = steady_now();
   parts_.ingress.drain(true);
@@ -35,7 +35,7 @@
       deliveries_finished() && clients_finished(elapsed) && parts_.write_ahead.journal_writable();
   if (finished || elapsed >= kMaxDuration) {
     log("stopped: " + std::to_string(parts_.journal.messages().size()) + " messages left in the journal, " +
-        std::to_string(parts_.delivery.in_flight_count()) + " calls out");
+        std::to_string(parts_.delivery.in_flight_count()) + " calls in flight");
     done_();
     return;
   }
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -19,7 +19,7 @@
   try {
     relay.reconfigure(message_relay::load_config());
   } catch (const std::exception& e) {
-    message_relay::log(std::string("configuration: the old one stays: ") + e.what());
+    message_relay::log(std::string("configuration: not reloaded: ") + e.what());
   }
 }
 
--- a/relay/operator_commands.cpp
+++ b/relay/operator_commands.cpp
@@ -77,7 +77,7 @@
   // Decided in a round of its own: calls decided before it have gone, those of later ones obey it.
   parts_.events.add_without_round(dispatch::event::EndpointSuspension{id, suspend});
   parts_.round.run();
-  log((suspend ? "suspended " : "restored ") + id + " by hand");
+  log((suspend ? "suspended " : "restored ") + id + " by operator");
 }
 
 bool OperatorCommands::is_suspended(const EndpointId& id) const {
@@ -88,7 +88,7 @@
   if (parts_.readiness.stopping()) return err("stopping");
   if (!parts_.readiness.paused()) {
     parts_.readiness.set_paused(true);
-    log("paused by hand");
+    log("paused by operator");
     parts_.ingress.drain(true);
   }
   return ok_with_open_messages("paused, ");
@@ -98,7 +98,7 @@
   if (parts_.readiness.stopping()) return err("stopping");
   if (parts_.readiness.paused()) {
     parts_.readiness.set_paused(false);
-    log("resumed by hand");
+    log("resumed by operator");
     parts_.ingress.drain(false);
   }
   return ok_with_open_messages("at work, ");
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -136,7 +136,8 @@
 // What an earlier process took on is still owed its end.
 void Relay::recover(const std::vector<InFlightCall>& calls) {
   if (journal_.dropped_bytes() > 0)
-    log("journal: dropped " + std::to_string(journal_.dropped_bytes()) + " torn bytes at its end");
+    log("journal: dropped " + std::to_string(journal_.dropped_bytes()) +
+        " bytes of an incomplete record at its end");
   for (const auto& endpoint : journal_.suspended_endpoints())
     events_.add_without_round(event::EndpointSuspension{endpoint, true});
   registry_.index_journal();
@@ -152,7 +153,7 @@
   }
   write_ahead_.enqueue(std::move(plan));
   if (!journal_.messages().empty())
-    log("recovered " + std::to_string(journal_.messages().size()) + " messages");
+    log("journal: recovered " + std::to_string(journal_.messages().size()) + " messages");
 }
 
 void Relay::listen_for_clients() {
@@ -174,8 +175,8 @@
   const HandoverState& state = *ownership_.inherited;
   for (const auto& client : state.clients) ingress_->adopt(client);
   if (readiness_.paused()) ingress_->drain(true);
-  log("took over " + std::to_string(state.clients.size()) + " clients' connections, " +
-      std::to_string(state.calls.size()) + " calls out");
+  log("handover: took over " + std::to_string(state.clients.size()) + " client connections, " +
+      std::to_string(state.calls.size()) + " calls in flight");
   ownership_.inherited.reset();
 }
 
@@ -264,7 +265,7 @@
 
 // ---- Changes while it runs. ----
 void Relay::reconfigure(const Config& config) {
-  log("configuration read again: discovery at " + format_address(config.discovery));
+  log("configuration reloaded: discovery at " + format_address(config.discovery));
   platform_.relocate(config.discovery);
 }
 
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -56,17 +56,17 @@
   HandoverChannel successor = std::move(*successor_);
   successor_.reset();
   if (!parts_.write_ahead.journal_writable() || !parts_.journal.consolidate()) {
-    log("handover: not while the journal can't be written");
+    log("handover: refused: the journal can't be written");
     return;
   }
   const HandoverState state = capture_state();
   if (!message_relay::hand_over(successor, state, folder_lock_)) {
-    log("handover: the other process did not take over; going on");
+    log("handover: the other process did not take over; continuing to serve");
     return;
   }
-  log("handed over: " + std::to_string(parts_.journal.messages().size()) + " messages held, " +
-      std::to_string(state.clients.size()) + " clients' connections, " + std::to_string(state.calls.size()) +
-      " calls out");
+  log("handover: handed over " + std::to_string(parts_.journal.messages().size()) + " open messages, " +
+      std::to_string(state.clients.size()) + " client connections, " + std::to_string(state.calls.size()) +
+      " calls in flight");
   // An orderly end would shut down connections that are the successor's by now.
   std::_Exit(0);
 }
--- a/relay/write_ahead.cpp
+++ b/relay/write_ahead.cpp
@@ -25,12 +25,12 @@
     // Records outside a plan keep the queue from being empty, too.
     if (waiting_.empty()) waiting_.emplace_back();
     if (std::exchange(journal_writable_, false))
-      log("journal: can't be written; taking nothing on until it can");
+      log("journal: can't be written; rejecting messages until it can");
     reject_waiting_clients();
     retry_later();
     return;
   }
-  if (!std::exchange(journal_writable_, true)) log("journal: written again");
+  if (!std::exchange(journal_writable_, true)) log("journal: can be written again");
   for (Plan& plan : std::exchange(waiting_, {})) executor_.carry_out(std::move(plan));
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -175,7 +175,7 @@
   void leave_one_untried() {
     members = member("s-1", endpoint.address(), "draining");
     spawn(config());
-    wait_for([&] { return logged().find("leaving: s-1") != std::string::npos; }, "its list");
+    wait_for([&] { return logged().find("draining or removed: s-1") != std::string::npos; }, "its list");
     EXPECT_EQ(hand_in("m1", "load-status"), 202u);
     kill_relay();
     members = member("s-1", endpoint.address());
@@ -229,7 +229,7 @@
   wait_for([&] { return !platform.got.empty(); }, "the first call");
   const auto first = platform.got[0].session;
   reload(config(moved.address()));
-  wait_for([&] { return logged().find("whole, 1 endpoints") != std::string::npos; },
+  wait_for([&] { return logged().find("snapshot, 1 endpoints") != std::string::npos; },
            "the new address's list");
   first->write(kHead + chunk(list(member("s-1", endpoint.address()))));
   EXPECT_EQ(hand_in("m1", "load-status"), 202u);
@@ -253,7 +253,8 @@
     g.session->write(kHead + chunk(list(member("s-1", endpoint.address(), "draining") + "," +
                                         member("s-2", other.address()))));
   });
-  wait_for([&] { return logged().find("leaving: s-1") != std::string::npos; }, "the list at its return");
+  wait_for([&] { return logged().find("draining or removed: s-1") != std::string::npos; },
+           "the list at its return");
   EXPECT_EQ(hand_in("m2", "load-status"), 202u);
   wait_for([&] { return !other.got.empty(); }, "the call goes elsewhere");
   EXPECT_EQ(endpoint.got.size(), 1u);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -821,7 +821,8 @@
   start();
   wait_for([&] { return watches.size() == 1; }, "the watch");
   reload("{\"name\":");
-  wait_for([&] { return logged().find("the old one stays") != std::string::npos; }, "the line in the log");
+  wait_for([&] { return logged().find("configuration: not reloaded") != std::string::npos; },
+           "the line in the log");
   EXPECT_EQ(hand_in("m1", kUnsafe), 202u);
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
   EXPECT_EQ(watches.size(), 1u);
@@ -975,8 +976,7 @@
   wait_for([&] { return finals.find("{\"id\":\"" + id + "\",\"status\":\"undeliverable\"}\n") == 0; },
            "the notice");
   reload(config());
-  wait_for([&] { return logged().find("configuration read again") != std::string::npos; },
-           "the file is read");
+  wait_for([&] { return logged().find("configuration reloaded") != std::string::npos; }, "the file is read");
   wait_for([&] { return platform.got.size() >= before + 3; }, "discovery is asked on");
   platform.on_request([this](const Got& g) { on_platform(g); });
   members = member("s-9", endpoint.address());
