Group the fleet's settings by what they describe and name them by the field's terms

Change: FleetSettings has a part each for the workload, the destinations, the network, the faults and the relays' limits. Names of settings and results say what they are: latency objective, slow start, Retry-After, rejected, notified, collapse. No logic changes.

--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -152,10 +152,13 @@
   void replace();
 
   bool out(const Destination& d) const { return d.fallen || (now_ >= d.down_from && now_ < d.back_at); }
-  bool cold(const Destination& d) const { return now_ >= d.back_at && now_ < d.back_at + micros(set_.cold); }
+  bool cold(const Destination& d) const {
+    return now_ >= d.back_at && now_ < d.back_at + micros(set_.destination.slow_start_duration);
+  }
   double capacity(const Destination& d) const {
-    const double warm = seconds(now_ - d.back_at) / set_.cold;
-    return d.capacity * std::min(1.0, set_.cold_from + (1 - set_.cold_from) * std::max(0.0, warm));
+    const double warm = seconds(now_ - d.back_at) / set_.destination.slow_start_duration;
+    return d.capacity * std::min(1.0, set_.destination.slow_start_capacity +
+                                          (1 - set_.destination.slow_start_capacity) * std::max(0.0, warm));
   }
   double left(Destination& d);
   std::optional<Time> take(Destination& d);
@@ -163,9 +166,9 @@
   void push(Destination& d, bool told);
   void gauge(Destination& d);
   Time delay(const Relay& r, const Server& s) const {
-    return micros(r.zone == s.zone ? set_.same_zone : set_.cross_zone);
+    return micros(r.zone == s.zone ? set_.network.same_zone_delay : set_.network.cross_zone_delay);
   }
-  bool counting() const { return now_ >= micros(set_.warm_up) && now_ < micros(set_.length); }
+  bool counting() const { return now_ >= micros(set_.warm_up) && now_ < micros(set_.duration); }
   void note(std::uint64_t v) { result_.digest = (result_.digest ^ v) * 0x100000001b3ULL; }
 
   const FleetSettings set_;
@@ -202,45 +205,52 @@
 }
 
 void Fleet::build() {
-  const int all = std::min(set_.relays * set_.destinations_per_relay, set_.most_destinations);
+  const int all = std::min(set_.relay_count * set_.destinations_per_relay, set_.max_destinations);
   destinations_.resize(static_cast<std::size_t>(all));
   for (int i = 0; i < all; i++) {
     Destination& d = destinations_[static_cast<std::size_t>(i)];
-    d.rate = set_.limit;
-    d.windowed = chance_.one_in(set_.window_part);
-    d.window = chance_.between(set_.window_least, set_.window_most);
+    d.rate = set_.destination.rate_limit;
+    d.windowed = chance_.one_in(set_.destination.fixed_window_fraction);
+    d.window = chance_.between(set_.destination.min_window, set_.destination.max_window);
     // A rate of which less than one call can be saved up would take none.
-    d.depth = std::max(chance_.between(set_.depth_least, set_.depth_most), 1 / d.rate);
-    d.refused_count = chance_.one_in(set_.refused_count_part);
-    d.tells_wait = chance_.between(set_.tells_wait_least, set_.tells_wait_most);
-    d.capacity = d.rate * chance_.between(set_.spare_least, set_.spare_most);
-    d.load = i < set_.hot_part * all ? set_.hot_load : set_.load;
+    d.depth = std::max(
+        chance_.between(set_.destination.min_bucket_fill_time, set_.destination.max_bucket_fill_time),
+        1 / d.rate);
+    d.refused_count = chance_.one_in(set_.destination.rejections_count_fraction);
+    d.tells_wait = chance_.between(set_.destination.min_retry_after_probability,
+                                   set_.destination.max_retry_after_probability);
+    d.capacity =
+        d.rate * chance_.between(set_.destination.min_capacity_ratio, set_.destination.max_capacity_ratio);
+    d.load = i < set_.workload.hot_fraction * all ? set_.workload.hot_load : set_.workload.load;
     d.tokens = d.rate * d.depth, d.phase = chance_.uniform();
-    const double more = set_.endpoints - std::floor(set_.endpoints);
-    const int n = std::max(1, static_cast<int>(set_.endpoints) + chance_.one_in(more));
+    const double more = set_.destination.mean_endpoints - std::floor(set_.destination.mean_endpoints);
+    const int n = std::max(1, static_cast<int>(set_.destination.mean_endpoints) + chance_.one_in(more));
     for (int k = 0; k < n; k++) {
       d.endpoints.push_back(static_cast<int>(servers_.size()));
-      servers_.push_back({"s" + std::to_string(servers_.size()), i,
-                          static_cast<int>(chance_.below(static_cast<std::size_t>(set_.zones)))});
+      servers_.push_back(
+          {"s" + std::to_string(servers_.size()), i,
+           static_cast<int>(chance_.below(static_cast<std::size_t>(set_.network.zone_count)))});
       server_of_[servers_.back().id] = static_cast<int>(servers_.size()) - 1;
     }
     rate_ += d.rate * d.load;
     up_to_.push_back(rate_);
   }
   result_.destinations = all, result_.endpoints = static_cast<std::int64_t>(servers_.size());
-  relays_.resize(static_cast<std::size_t>(set_.relays));
+  relays_.resize(static_cast<std::size_t>(set_.relay_count));
   double sum = 0;
-  for (int i = 0; i < set_.relays; i++) up_to_relay_.push_back(sum += chance_.log_normal(1, set_.uneven));
+  for (int i = 0; i < set_.relay_count; i++)
+    up_to_relay_.push_back(sum += chance_.log_normal(1, set_.workload.relay_skew));
   for (auto& part : up_to_relay_) part /= sum;
-  for (int i = 0; i < set_.relays; i++) start(i);
+  for (int i = 0; i < set_.relay_count; i++) start(i);
   at(micros(chance_.exponential(1 / rate_)), What::arrival);
-  if (set_.down_part > 0) {
+  if (set_.faults.unavailable_fraction > 0) {
     // So many are down at any time; who is down is drawn when one goes.
-    const double gap = set_.down / (set_.down_part * all);
-    for (double t = chance_.uniform() * gap; t < set_.length; t += gap) at(micros(t), What::down);
+    const double gap = set_.faults.outage_duration / (set_.faults.unavailable_fraction * all);
+    for (double t = chance_.uniform() * gap; t < set_.duration; t += gap) at(micros(t), What::down);
   }
-  if (set_.churn > 0) at(micros(chance_.exponential(1 / set_.churn)), What::replace);
-  if (set_.killed_part > 0) at(micros(set_.killed_at), What::kill);
+  if (set_.faults.endpoint_replacement_rate > 0)
+    at(micros(chance_.exponential(1 / set_.faults.endpoint_replacement_rate)), What::replace);
+  if (set_.faults.killed_relay_fraction > 0) at(micros(set_.faults.killed_at), What::kill);
 }
 
 Settings Fleet::settings_of(int rank) const {
@@ -252,24 +262,29 @@
                          .deadline = micros(deadline),
                          .idempotency = effect};
   };
-  s.classes = {plain(set_.aim, set_.deadline, Idempotency::idempotent, 1),
-               plain(set_.unsafe_aim, set_.unsafe_deadline, Idempotency::none, 3)};
+  s.classes = {plain(set_.workload.idempotent.latency_objective, set_.workload.idempotent.deadline,
+                     Idempotency::idempotent, 1),
+               plain(set_.workload.non_idempotent.latency_objective, set_.workload.non_idempotent.deadline,
+                     Idempotency::none, 3)};
   s.kinds = {{}};
   s.weights = WeightKind::rough;
-  s.relay_count = set_.relays, s.relay_index = rank, s.zone = rank % set_.zones;
-  s.max_calls_in_flight = set_.slots, s.max_open_messages = set_.open_max, s.max_attempts = set_.attempts_max;
+  s.relay_count = set_.relay_count, s.relay_index = rank, s.zone = rank % set_.network.zone_count;
+  s.max_calls_in_flight = set_.relay.max_calls_in_flight, s.max_open_messages = set_.relay.max_open_messages,
+  s.max_attempts = set_.relay.max_attempts;
   s.cancellation = true;
   s.min_round_interval = kTick, s.connect_timeout = kConnectTimeout;
   s.max_retry_after = 3'000'000, s.drain_grace = 2'000'000, s.answer_slack = 100'000;
-  s.overload_multiple = set_.fall_multiple, s.overload_duration = micros(set_.overload_for);
-  s.slow_start_capacity = set_.cold_from, s.slow_start_duration = micros(set_.cold);
+  s.overload_multiple = set_.destination.overload_multiple,
+  s.overload_duration = micros(set_.destination.overload_duration);
+  s.slow_start_capacity = set_.destination.slow_start_capacity,
+  s.slow_start_duration = micros(set_.destination.slow_start_duration);
   return s;
 }
 
 Endpoint Fleet::listing(const Server& s, EndpointStatus listing) const {
   const Destination& d = destinations_[static_cast<std::size_t>(s.destination)];
   // Each relay is told the same; how far the weight is off hangs on the destination.
-  const double off = set_.weight_off * (2 * std::fmod(d.phase * 7, 1) - 1);
+  const double off = set_.destination.max_weight_error * (2 * std::fmod(d.phase * 7, 1) - 1);
   return {.id = s.id,
           .destination = s.destination,
           .zone = s.zone,
@@ -309,15 +324,17 @@
 }
 
 LoadReport Fleet::report(Destination& d) {
-  const Time period = micros(set_.report_period), late = micros(set_.report_delay);
+  const Time period = micros(set_.destination.load_report_period),
+             late = micros(set_.destination.load_report_delay);
   if (now_ >= d.next_at) d.left_told = d.left_next, d.next_at = kNever;
   if (now_ - d.reported_at >= period) {
     d.reported_at = now_, d.next_at = now_ + late;
-    d.left_next = std::clamp(left(d) * (1 + set_.report_noise * (2 * chance_.uniform() - 1)), 0.0, 1.0);
+    d.left_next = std::clamp(left(d) * (1 + set_.destination.load_report_noise * (2 * chance_.uniform() - 1)),
+                             0.0, 1.0);
   }
   LoadReport r;
   r.remaining_fraction = d.left_told;
-  r.rate_limit = d.rate * (1 + set_.report_noise * (2 * chance_.uniform() - 1));
+  r.rate_limit = d.rate * (1 + set_.destination.load_report_noise * (2 * chance_.uniform() - 1));
   return r;
 }
 
@@ -325,13 +342,14 @@
 // chance.
 void Fleet::push(Destination& d, bool told) {
   d.pushes.emplace_back(now_, told);
-  while (d.pushes.front().first <= now_ - micros(set_.overload_for)) d.pushes.pop_front();
-  const double n = set_.fall_multiple * capacity(d) * set_.overload_for;
+  while (d.pushes.front().first <= now_ - micros(set_.destination.overload_duration)) d.pushes.pop_front();
+  const double n = set_.destination.overload_multiple * capacity(d) * set_.destination.overload_duration;
   if (static_cast<double>(d.pushes.size()) <= n + 2 * std::sqrt(n) + 2) return;
   const auto by_told =
       std::count_if(d.pushes.begin(), d.pushes.end(), [](const auto& p) { return p.second; });
-  result_.falls++;
-  result_.told_falls += static_cast<double>(by_told) > kToldPart * static_cast<double>(d.pushes.size());
+  result_.collapses++;
+  result_.collapses_by_notified_relays +=
+      static_cast<double>(by_told) > kToldPart * static_cast<double>(d.pushes.size());
   d.fallen = true;
 }
 
@@ -347,8 +365,8 @@
 
 void Fleet::go_down(int destination) {
   Destination& d = destinations_[static_cast<std::size_t>(destination)];
-  if (d.fallen || now_ < d.back_at + micros(set_.cold)) return;
-  d.down_from = now_, d.back_at = now_ + micros(set_.down);
+  if (d.fallen || now_ < d.back_at + micros(set_.destination.slow_start_duration)) return;
+  d.down_from = now_, d.back_at = now_ + micros(set_.faults.outage_duration);
   d.told.clear(), d.pushes.clear();
   // Calls that it had taken on get no answer any more.
   std::vector<std::uint64_t> lost;
@@ -379,8 +397,8 @@
   news_[next_news_] = {listing(servers_.back()),
                        listing(servers_[static_cast<std::size_t>(old)], EndpointStatus::draining)};
   news_[next_news_ + 1] = {listing(servers_[static_cast<std::size_t>(old)], EndpointStatus::removed)};
-  for (int i = 0; i < set_.relays; i++) {
-    const Time first = now_ + micros(set_.list_delay * chance_.uniform());
+  for (int i = 0; i < set_.relay_count; i++) {
+    const Time first = now_ + micros(set_.network.max_list_delay * chance_.uniform());
     at(first, What::listed, i, next_news_);
     at(first + 2'000'000, What::listed, i, next_news_ + 1);
   }
@@ -464,14 +482,16 @@
   const auto wait = take(d);
   const bool full = d.backlog > std::max(1.0, able * d.depth);
   if (wait || full) {
-    result_.calls_refused += counting();
+    result_.calls_rejected += counting();
     const bool told = wait && chance_.one_in(d.tells_wait);
     return ends(now_ + back, Outcome::rejected, told ? (*wait + 999) / 1000 * 1000 : 0, report(d));
   }
   const double queued = d.backlog / able;
   d.backlog += 1;
-  ends(now_ + back + micros(queued + chance_.log_normal(set_.service, set_.service_cv)), Outcome::succeeded,
-       0, report(d));
+  ends(now_ + back +
+           micros(queued + chance_.log_normal(set_.destination.mean_service_time,
+                                              set_.destination.service_time_variation)),
+       Outcome::succeeded, 0, report(d));
 }
 
 void Fleet::end_call(std::uint64_t number, Outcome outcome, Time told_wait, const LoadReport& report) {
@@ -480,7 +500,7 @@
   const Call call = it->second;
   calls_.erase(it);
   Relay& r = relays_[static_cast<std::size_t>(call.relay)];
-  result_.calls_served += outcome == Outcome::succeeded && counting();
+  result_.calls_succeeded += outcome == Outcome::succeeded && counting();
   result_.calls_failed += outcome != Outcome::succeeded && outcome != Outcome::rejected && counting();
   if (call.life != r.life || !r.up) return;
   note(static_cast<std::uint64_t>(now_) * 31 + static_cast<std::uint64_t>(outcome));
@@ -506,21 +526,22 @@
   const Held& h = it->second;
   if (h.counts) {
     const bool in_time = served && now_ <= h.deadline;
-    const double aim = h.message_class == 0 ? set_.aim : set_.unsafe_aim;
-    result_.messages++, result_.served += in_time;
-    result_.in_aim += served && now_ <= h.born + micros(aim);
-    result_.failed += !served && !handed_back, result_.handed_back += handed_back;
-    result_.never_tried += h.attempts.empty();
-    result_.sound_messages += h.sound, result_.sound_served += h.sound && in_time;
+    const double aim = h.message_class == 0 ? set_.workload.idempotent.latency_objective
+                                            : set_.workload.non_idempotent.latency_objective;
+    result_.messages++, result_.delivered += in_time;
+    result_.within_objective += served && now_ <= h.born + micros(aim);
+    result_.failed += !served && !handed_back, result_.rejected += handed_back;
+    result_.never_attempted += h.attempts.empty();
+    result_.unaffected_messages += h.sound, result_.unaffected_delivered += h.sound && in_time;
   }
   note(it->first * 7 + served);
   r.held.erase(it);
 }
 
 void Fleet::arrive() {
-  const bool burst = now_ >= micros(set_.burst_from) && now_ < micros(set_.burst_to);
-  const double rate = burst ? rate_ * set_.burst_load / set_.load : rate_;
-  if (now_ < micros(set_.length)) at(now_ + micros(chance_.exponential(1 / rate)), What::arrival);
+  const bool burst = now_ >= micros(set_.workload.burst_start) && now_ < micros(set_.workload.burst_end);
+  const double rate = burst ? rate_ * set_.workload.burst_load / set_.workload.load : rate_;
+  if (now_ < micros(set_.duration)) at(now_ + micros(chance_.exponential(1 / rate)), What::arrival);
   const double drawn = chance_.uniform() * rate_;
   const auto destination =
       static_cast<int>(std::upper_bound(up_to_.begin(), up_to_.end(), drawn) - up_to_.begin());
@@ -529,16 +550,17 @@
   if (alive_.empty()) return;
   const auto drawn_relay = std::upper_bound(up_to_relay_.begin(), up_to_relay_.end(), chance_.uniform());
   auto relay =
-      static_cast<int>(std::min(drawn_relay - up_to_relay_.begin(), std::ptrdiff_t{set_.relays - 1}));
+      static_cast<int>(std::min(drawn_relay - up_to_relay_.begin(), std::ptrdiff_t{set_.relay_count - 1}));
   // The front deals what a dead one would get to the others.
   if (!relays_[static_cast<std::size_t>(relay)].up) relay = alive_[chance_.below(alive_.size())];
   Held h;
   h.destination = static_cast<int>(&d - destinations_.data());
-  h.message_class = chance_.one_in(set_.unsafe_part);
+  h.message_class = chance_.one_in(set_.workload.non_idempotent_fraction);
   h.born = now_;
-  const Time span = micros(h.message_class == 0 ? set_.deadline : set_.unsafe_deadline);
+  const Time span = micros(h.message_class == 0 ? set_.workload.idempotent.deadline
+                                                : set_.workload.non_idempotent.deadline);
   h.deadline = now_ + span;
-  h.counts = counting() && h.deadline <= micros(set_.length);
+  h.counts = counting() && h.deadline <= micros(set_.duration);
   h.sound = !out(d) && !cold(d);
   const MessageId id = next_message_++;
   event::Arrival a;
@@ -548,11 +570,11 @@
 }
 
 void Fleet::kill() {
-  const auto n = static_cast<std::size_t>(std::lround(set_.killed_part * set_.relays));
+  const auto n = static_cast<std::size_t>(std::lround(set_.faults.killed_relay_fraction * set_.relay_count));
   for (std::size_t i = 0; i < n; i++) {
     Relay& r = relays_[i];
     r.up = false, r.life++, r.inbox.clear(), r.round_due = false, r.module.reset();
-    at(now_ + micros(set_.killed_for), What::start, static_cast<std::int64_t>(i));
+    at(now_ + micros(set_.faults.restart_delay), What::start, static_cast<std::int64_t>(i));
   }
   std::erase_if(alive_, [n](int i) { return static_cast<std::size_t>(i) < n; });
 }
@@ -560,11 +582,11 @@
 void Fleet::start(int relay) {
   Relay& r = relays_[static_cast<std::size_t>(relay)];
   r.module = std::make_unique<Dispatcher>(settings_of(relay), chance_.bits());
-  r.zone = relay % set_.zones, r.up = true;
+  r.zone = relay % set_.network.zone_count, r.up = true;
   alive_.push_back(relay);
   if (r.life > 0 && restarted_at_ == kNever) {
     restarted_at_ = now_;
-    for (Time t = now_; t < micros(set_.length); t += kGaugeStep) at(t, What::gauge);
+    for (Time t = now_; t < micros(set_.duration); t += kGaugeStep) at(t, What::gauge);
     for (auto& d : destinations_) d.longest_over = 0, d.over_since = kNever;
   }
   event::EndpointListSnapshot list;
@@ -611,7 +633,8 @@
     case What::down:
       return go_down(static_cast<int>(chance_.below(destinations_.size())));
     case What::replace:
-      if (now_ < micros(set_.length)) at(now_ + micros(chance_.exponential(1 / set_.churn)), What::replace);
+      if (now_ < micros(set_.duration))
+        at(now_ + micros(chance_.exponential(1 / set_.faults.endpoint_replacement_rate)), What::replace);
       return replace();
     case What::listed:
       return hear(static_cast<int>(relay), event::EndpointListUpdate{news_.at(item.b)});
@@ -628,7 +651,7 @@
 FleetResult Fleet::run() {
   const double from = thread_time();
   // Past the last arrival until all messages are over.
-  const Time end = micros(set_.length + set_.unsafe_deadline + 1);
+  const Time end = micros(set_.duration + set_.workload.non_idempotent.deadline + 1);
   Time told = 0;
   while (!items_.empty() && items_.top().at <= end) {
     const Item item = items_.top();
@@ -638,26 +661,27 @@
     happen(item);
   }
   for (const auto& d : destinations_) {
-    result_.limit_calls += d.rate * (set_.length - set_.warm_up);
+    result_.calls_allowed += d.rate * (set_.duration - set_.warm_up);
     const double span = d.windowed ? d.window : d.depth;
     if (restarted_at_ == kNever) continue;
     result_.longest_overrun = std::max(result_.longest_overrun, d.longest_over);
     result_.overruns += d.longest_over > span + kOverrunMore;
   }
-  result_.bytes_a_relay = (allocated().bytes - allocated_) / set_.relays;
-  result_.processor_seconds_a_relay = (thread_time() - from) / kSecond / set_.relays / seconds(now_);
+  result_.bytes_per_relay = (allocated().bytes - allocated_) / set_.relay_count;
+  result_.cpu_seconds_per_relay = (thread_time() - from) / kSecond / set_.relay_count / seconds(now_);
   return result_;
 }
 
 }  // namespace
 
 void validate(const FleetSettings& s) {
-  need(s.relays >= 1, "relays: must be 1 or more");
-  need(s.destinations_per_relay >= 1 && s.most_destinations >= 1, "destinations: must be 1 or more");
-  need(s.limit > 0 && s.load > 0, "limit and load: must be above 0");
-  need(s.burst_from >= s.burst_to || s.burst_load > 0, "burst_load: must be above 0");
-  need(s.warm_up < s.length, "warm_up: must be under length");
-  need(s.zones >= 1, "zones: must be 1 or more");
+  need(s.relay_count >= 1, "relays: must be 1 or more");
+  need(s.destinations_per_relay >= 1 && s.max_destinations >= 1, "destinations: must be 1 or more");
+  need(s.destination.rate_limit > 0 && s.workload.load > 0, "limit and load: must be above 0");
+  need(s.workload.burst_start >= s.workload.burst_end || s.workload.burst_load > 0,
+       "burst_load: must be above 0");
+  need(s.warm_up < s.duration, "warm_up: must be under length");
+  need(s.network.zone_count >= 1, "zones: must be 1 or more");
 }
 
 FleetResult run_fleet(const FleetSettings& settings, const std::function<void(double)>& progress) {
--- a/scale/fleet.hpp
+++ b/scale/fleet.hpp
@@ -1,81 +1,156 @@
-// A fleet of hollow relays: many instances of the real module in one process and in virtual time, against
-// modelled destinations. Nothing of it depends on the machine: equal settings and seed give equal results.
+// Simulation of a fleet of relays: many instances of the real dispatcher in one process and in virtual time,
+// against modelled destinations. Nothing of it depends on the machine: equal settings and seed give equal
+// results.
+//
+// All settings of time are in seconds and all rates are per second of virtual time. Fractions and
+// probabilities are between 0 and 1. A pair of min_x and max_x is a range from which each destination draws.
 #pragma once
 
 #include <cstdint>
 #include <functional>
-#include <vector>
 
 #include "dispatch/dispatcher.hpp"
 
 namespace scale_tool {
 
-// Lengths in seconds, rates a second. A pair is a range from which each destination draws.
+// What the messages of one class demand.
+struct ClassObjectives {
+  double latency_objective = 0;
+  double deadline = 0;
+};
+
+// The messages that arrive. Loads are the messages' rate as a multiple of the destination's rate limit.
+struct WorkloadSettings {
+  double load = 0.5;
+  // This fraction of the destinations gets `hot_load` in place of `load`.
+  double hot_fraction = 0;
+  double hot_load = 0;
+  // All destinations together get `burst_load` in place of `load` from `burst_start` until `burst_end`.
+  double burst_load = 0;
+  double burst_start = 0;
+  double burst_end = 0;
+  // Coefficient of variation of the relays' parts of the traffic: at 1, some get several times the mean.
+  double relay_skew = 0;
+  double non_idempotent_fraction = 0.23;
+  ClassObjectives idempotent{.latency_objective = 1.5, .deadline = 8};
+  ClassObjectives non_idempotent{.latency_objective = 2, .deadline = 16};
+};
+
+// The modelled destinations.
+struct DestinationSettings {
+  double mean_endpoints = 1.7;  // endpoints of a destination share its rate limit
+  double rate_limit = 2.84;     // calls per second that a destination admits from all relays together
+  // This fraction limits the calls in fixed windows; the others have a token bucket, whose depth is given by
+  // the time in which it fills up.
+  double fixed_window_fraction = 0.67;
+  double min_window = 1;
+  double max_window = 2;
+  double min_bucket_fill_time = 0.4;
+  double max_bucket_fill_time = 1;
+  double rejections_count_fraction = 0;  // of destinations at which rejected calls use up the limit too
+  double min_retry_after_probability = 0.05;
+  double max_retry_after_probability = 0.9;
+  double min_capacity_ratio = 1.2;  // capacity over the rate limit
+  double max_capacity_ratio = 1.6;
+  double mean_service_time = 0.15;
+  double service_time_variation = 0.6;  // coefficient of variation
+  double max_weight_error = 0.5;        // relative error of the weight in the endpoint list
+  double load_report_period = 0.4;
+  double load_report_delay = 0.15;
+  double load_report_noise = 0.1;  // relative
+  // Slow start: right after an outage there is this fraction of the capacity; it grows linearly to all of it.
+  double slow_start_capacity = 0.22;
+  double slow_start_duration = 9;
+  // A destination in slow start collapses when calls come at this multiple of its present capacity for so
+  // long.
+  double overload_multiple = 2;
+  double overload_duration = 1.5;
+};
+
+struct NetworkSettings {
+  int zone_count = 2;
+  double same_zone_delay = 0.015;  // one way
+  double cross_zone_delay = 0.05;
+  double max_list_delay = 1;  // until a relay hears of a change of the endpoint list
+};
+
+struct FaultSettings {
+  // Destinations are down in turn, so that this fraction of them is down at any time.
+  double unavailable_fraction = 0;
+  double outage_duration = 10;
+  double endpoint_replacement_rate = 0;
+  // Relays that are killed at once; they keep their journals and start again after `restart_delay`.
+  double killed_relay_fraction = 0;
+  double killed_at = 30;
+  double restart_delay = 1;
+};
+
+// Limits of each relay; see dispatch::Settings.
+struct RelayLimits {
+  int max_calls_in_flight = 145;
+  int max_open_messages = 4'150;
+  int max_attempts = 6;
+};
+
 struct FleetSettings {
-  int relays = 30;
+  int relay_count = 30;
   std::uint64_t seed = 1;
-  // Of the full size; traffic for each relay and destination stays the same in a part of it.
+  // The number of destinations grows with the relays up to the maximum. The traffic for each relay and
+  // destination stays the same.
   int destinations_per_relay = 146;
-  int most_destinations = 200;
-  double endpoints = 1.7;  // for each destination, in the mean; they share its limit
-  double length = 60, warm_up = 15;
-
-  // What is asked, as a share of each destination's limit; of some destinations another share.
-  double limit = 2.84;  // calls a second that a destination takes of all relays
-  double load = 0.5;
-  double hot_part = 0, hot_load = 0;
-  double burst_load = 0, burst_from = 0, burst_to = 0;  // of all, for a while in place of `load`
-  double uneven = 0;  // variation of what the relays get, in means: 1 gives some several times the mean
-  double unsafe_part = 0.23;
-  double aim = 1.5, deadline = 8, unsafe_aim = 2, unsafe_deadline = 16;
-
-  // Limits: over fixed windows, else a plain rate of which `depth` seconds can be saved up.
-  double window_part = 0.67, window_least = 1, window_most = 2;
-  double depth_least = 0.4, depth_most = 1;
-  double refused_count_part = 0;  // of destinations at which refused calls use the limit up
-  double tells_wait_least = 0.05, tells_wait_most = 0.9;
-  double spare_least = 1.2, spare_most = 1.6;  // capacity over the limit
-  double service = 0.15, service_cv = 0.6;
-  double weight_off = 0.5;  // how far the list's weight is off at most
-  double report_period = 0.4, report_delay = 0.15, report_noise = 0.1;
-  double same_zone = 0.015, cross_zone = 0.05;  // one way
-  int zones = 2;
-
-  // Troubles. Destinations are down for `down` in turn, so that this part of them is down at any time; an
-  // endpoint is replaced by another so many times a second; relays are killed at once, their folders kept.
-  double down_part = 0, down = 10;
-  double churn = 0, list_delay = 1;
-  double killed_part = 0, killed_at = 30, killed_for = 1;
-
-  int slots = 145, open_max = 4'150, attempts_max = 6;
-  double cold_from = 0.22, cold = 9, fall_multiple = 2, overload_for = 1.5;
+  int max_destinations = 200;
+  double duration = 60;
+  double warm_up = 15;  // at the start, not counted
+  WorkloadSettings workload;
+  DestinationSettings destination;
+  NetworkSettings network;
+  FaultSettings faults;
+  RelayLimits relay;
 };
 
 struct FleetResult {
-  std::int64_t destinations = 0, endpoints = 0;
-  // Messages that arrived after the warm-up and whose time was up before the end.
-  std::int64_t messages = 0, served = 0, in_aim = 0, failed = 0, handed_back = 0, never_tried = 0;
-  // Of these, those whose destination was neither down nor cold in their time.
-  std::int64_t sound_messages = 0, sound_served = 0;
-  // After the warm-up.
-  std::int64_t calls = 0, calls_served = 0, calls_refused = 0, calls_failed = 0;
-  double limit_calls = 0;                  // that the limits would have allowed
-  std::int64_t falls = 0, told_falls = 0;  // pushed over while cold; two thirds by relays that had been told
-  // The longest time after the restart for which the calls in a destination's window went on being more than
-  // its limit allows; and how many destinations had more than their window and 2 s of that.
+  std::int64_t destinations = 0;
+  std::int64_t endpoints = 0;
+
+  // Messages that arrived after the warm-up and whose deadline was before the end.
+  std::int64_t messages = 0;
+  std::int64_t delivered = 0;  // before the deadline
+  std::int64_t within_objective = 0;
+  std::int64_t failed = 0;
+  std::int64_t rejected = 0;
+  std::int64_t never_attempted = 0;
+  // Of these, those whose destination was neither down nor in slow start in their time.
+  std::int64_t unaffected_messages = 0;
+  std::int64_t unaffected_delivered = 0;
+
+  // Calls after the warm-up.
+  std::int64_t calls = 0;
+  std::int64_t calls_succeeded = 0;
+  std::int64_t calls_rejected = 0;
+  std::int64_t calls_failed = 0;
+  double calls_allowed = 0;  // by the rate limits
+
+  // Destinations in slow start that collapsed under overload, and of these the ones to which more than two
+  // thirds of the calls came from relays that had been notified of the outage.
+  std::int64_t collapses = 0;
+  std::int64_t collapses_by_notified_relays = 0;
+  // The longest time after the restart for which the calls in a destination's window exceeded its limit
+  // without a break, in seconds, and the number of destinations at which this took more than the window and
+  // 2 s.
   double longest_overrun = 0;
   std::int64_t overruns = 0;
-  // At the end, with what the emulator itself holds.
-  std::int64_t bytes_a_relay = 0;
-  double processor_seconds_a_relay = 0;  // for a second of virtual time
-  std::uint64_t digest = 0;              // of all that happened, in order
+
+  // At the end, with what the simulation itself holds.
+  std::int64_t bytes_per_relay = 0;
+  double cpu_seconds_per_relay = 0;  // for a second of virtual time
+  std::uint64_t digest = 0;          // of all that happened, in order
 };
 
-// Throws std::invalid_argument naming the setting that makes no sense.
+// Throws std::invalid_argument naming the setting that makes no sense, by its key in the experiment file.
 void validate(const FleetSettings& settings);
 
-// Throws as validate() does. `progress` hears of each virtual second.
-FleetResult run_fleet(
+// Runs one simulation; `progress` is called with each second of virtual time. Throws as validate() does.
+[[nodiscard]] FleetResult run_fleet(
     const FleetSettings& settings, const std::function<void(double second)>& progress = [](double) {});
 
 }  // namespace scale_tool
--- a/scale/fleet_command.cpp
+++ b/scale/fleet_command.cpp
@@ -42,59 +42,61 @@
   file.read("relays", plan.relays, 1, kMostRelays);
   file.read("seeds", plan.seeds, 0, INT64_MAX);
   read_whole(file, "destinations_per_relay", s.destinations_per_relay, 1, kMostDestinations);
-  read_whole(file, "most_destinations", s.most_destinations, 1, kMostDestinations);
-  read_whole(file, "zones", s.zones, 1, 1'000);
-  read_whole(file, "slots", s.slots, 1, 100'000);
-  read_whole(file, "open_max", s.open_max, 1, 10'000'000);
-  read_whole(file, "attempts_max", s.attempts_max, 1, 1'000);
-  const std::pair<const char*, double*> parts[] = {{"hot_part", &s.hot_part},
-                                                   {"unsafe_part", &s.unsafe_part},
-                                                   {"window_part", &s.window_part},
-                                                   {"refused_count_part", &s.refused_count_part},
-                                                   {"tells_wait_least", &s.tells_wait_least},
-                                                   {"tells_wait_most", &s.tells_wait_most},
-                                                   {"weight_off", &s.weight_off},
-                                                   {"report_noise", &s.report_noise},
-                                                   {"down_part", &s.down_part},
-                                                   {"killed_part", &s.killed_part},
-                                                   {"cold_from", &s.cold_from}};
+  read_whole(file, "most_destinations", s.max_destinations, 1, kMostDestinations);
+  read_whole(file, "zones", s.network.zone_count, 1, 1'000);
+  read_whole(file, "slots", s.relay.max_calls_in_flight, 1, 100'000);
+  read_whole(file, "open_max", s.relay.max_open_messages, 1, 10'000'000);
+  read_whole(file, "attempts_max", s.relay.max_attempts, 1, 1'000);
+  const std::pair<const char*, double*> parts[] = {
+      {"hot_part", &s.workload.hot_fraction},
+      {"unsafe_part", &s.workload.non_idempotent_fraction},
+      {"window_part", &s.destination.fixed_window_fraction},
+      {"refused_count_part", &s.destination.rejections_count_fraction},
+      {"tells_wait_least", &s.destination.min_retry_after_probability},
+      {"tells_wait_most", &s.destination.max_retry_after_probability},
+      {"weight_off", &s.destination.max_weight_error},
+      {"report_noise", &s.destination.load_report_noise},
+      {"down_part", &s.faults.unavailable_fraction},
+      {"killed_part", &s.faults.killed_relay_fraction},
+      {"cold_from", &s.destination.slow_start_capacity}};
   for (const auto& [key, value] : parts) file.read(key, *value, 0, 1);
-  const std::pair<const char*, double*> above_zero[] = {{"length", &s.length},
-                                                        {"aim", &s.aim},
-                                                        {"deadline", &s.deadline},
-                                                        {"unsafe_aim", &s.unsafe_aim},
-                                                        {"unsafe_deadline", &s.unsafe_deadline},
-                                                        {"window_least", &s.window_least},
-                                                        {"window_most", &s.window_most},
-                                                        {"depth_least", &s.depth_least},
-                                                        {"depth_most", &s.depth_most},
-                                                        {"service", &s.service},
-                                                        {"down", &s.down},
-                                                        {"cold", &s.cold},
-                                                        {"overload_for", &s.overload_for},
-                                                        {"fall_multiple", &s.fall_multiple},
-                                                        {"report_period", &s.report_period},
-                                                        {"limit", &s.limit},
-                                                        {"load", &s.load},
-                                                        {"spare_least", &s.spare_least},
-                                                        {"spare_most", &s.spare_most},
-                                                        {"endpoints", &s.endpoints}};
+  const std::pair<const char*, double*> above_zero[] = {
+      {"length", &s.duration},
+      {"aim", &s.workload.idempotent.latency_objective},
+      {"deadline", &s.workload.idempotent.deadline},
+      {"unsafe_aim", &s.workload.non_idempotent.latency_objective},
+      {"unsafe_deadline", &s.workload.non_idempotent.deadline},
+      {"window_least", &s.destination.min_window},
+      {"window_most", &s.destination.max_window},
+      {"depth_least", &s.destination.min_bucket_fill_time},
+      {"depth_most", &s.destination.max_bucket_fill_time},
+      {"service", &s.destination.mean_service_time},
+      {"down", &s.faults.outage_duration},
+      {"cold", &s.destination.slow_start_duration},
+      {"overload_for", &s.destination.overload_duration},
+      {"fall_multiple", &s.destination.overload_multiple},
+      {"report_period", &s.destination.load_report_period},
+      {"limit", &s.destination.rate_limit},
+      {"load", &s.workload.load},
+      {"spare_least", &s.destination.min_capacity_ratio},
+      {"spare_most", &s.destination.max_capacity_ratio},
+      {"endpoints", &s.destination.mean_endpoints}};
   constexpr double kLeast = 1e-6;
   for (const auto& [key, value] : above_zero) file.read(key, *value, kLeast, kMostTime);
   const std::pair<const char*, double*> from_zero[] = {{"warm_up", &s.warm_up},
-                                                       {"hot_load", &s.hot_load},
-                                                       {"burst_load", &s.burst_load},
-                                                       {"burst_from", &s.burst_from},
-                                                       {"burst_to", &s.burst_to},
-                                                       {"service_cv", &s.service_cv},
-                                                       {"report_delay", &s.report_delay},
-                                                       {"same_zone", &s.same_zone},
-                                                       {"cross_zone", &s.cross_zone},
-                                                       {"list_delay", &s.list_delay},
-                                                       {"killed_at", &s.killed_at},
-                                                       {"killed_for", &s.killed_for},
-                                                       {"churn", &s.churn},
-                                                       {"uneven", &s.uneven}};
+                                                       {"hot_load", &s.workload.hot_load},
+                                                       {"burst_load", &s.workload.burst_load},
+                                                       {"burst_from", &s.workload.burst_start},
+                                                       {"burst_to", &s.workload.burst_end},
+                                                       {"service_cv", &s.destination.service_time_variation},
+                                                       {"report_delay", &s.destination.load_report_delay},
+                                                       {"same_zone", &s.network.same_zone_delay},
+                                                       {"cross_zone", &s.network.cross_zone_delay},
+                                                       {"list_delay", &s.network.max_list_delay},
+                                                       {"killed_at", &s.faults.killed_at},
+                                                       {"killed_for", &s.faults.restart_delay},
+                                                       {"churn", &s.faults.endpoint_replacement_rate},
+                                                       {"uneven", &s.workload.relay_skew}};
   for (const auto& [key, value] : from_zero) file.read(key, *value, 0, kMostRate);
   file.finish();
   try {
@@ -115,21 +117,21 @@
           {"seed", seed},
           {"destinations", r.destinations},
           {"messages", r.messages},
-          {"served", part(n(r.served), n(r.messages))},
-          {"in_aim", part(n(r.in_aim), n(r.messages))},
-          {"sound_served", part(n(r.sound_served), n(r.sound_messages))},
+          {"served", part(n(r.delivered), n(r.messages))},
+          {"in_aim", part(n(r.within_objective), n(r.messages))},
+          {"sound_served", part(n(r.unaffected_delivered), n(r.unaffected_messages))},
           {"failed", r.failed},
-          {"handed_back", r.handed_back},
-          {"never_tried", r.never_tried},
-          {"of_limit", part(n(r.calls_served), r.limit_calls)},
-          {"refused_a_served", part(n(r.calls_refused), n(r.calls_served))},
+          {"handed_back", r.rejected},
+          {"never_tried", r.never_attempted},
+          {"of_limit", part(n(r.calls_succeeded), r.calls_allowed)},
+          {"refused_a_served", part(n(r.calls_rejected), n(r.calls_succeeded))},
           {"calls_failed", r.calls_failed},
-          {"falls", r.falls},
-          {"told_falls", r.told_falls},
+          {"falls", r.collapses},
+          {"told_falls", r.collapses_by_notified_relays},
           {"longest_overrun_s", r.longest_overrun},
           {"overruns", r.overruns},
-          {"cpu_a_relay", r.processor_seconds_a_relay},
-          {"bytes_a_relay", r.bytes_a_relay},
+          {"cpu_a_relay", r.cpu_seconds_per_relay},
+          {"bytes_a_relay", r.bytes_per_relay},
           {"digest", std::to_string(r.digest)}};
 }
 
@@ -147,9 +149,9 @@
   std::exception_ptr problem;
   const auto play = [&](std::size_t i) {
     FleetSettings s = plan.settings;
-    s.relays = static_cast<int>(tasks[i].first), s.seed = static_cast<std::uint64_t>(tasks[i].second);
+    s.relay_count = static_cast<int>(tasks[i].first), s.seed = static_cast<std::uint64_t>(tasks[i].second);
     const std::string name = "run " + std::to_string(i + 1) + " of " + std::to_string(tasks.size()) + ", " +
-                             std::to_string(s.relays) + " relays, seed " + std::to_string(s.seed) + ": ";
+                             std::to_string(s.relay_count) + " relays, seed " + std::to_string(s.seed) + ": ";
     return run_fleet(s, [&](double second) {
       const std::lock_guard held(lock);
       progress(name + std::to_string(static_cast<int>(second)) + " s");
