Split the fleet's simulation into modules with one job each

Cause: one class of 600 lines held the destinations, the relays, the network, the queue of events, the random numbers and the counts, as structs with public fields, and events were an enum with two numbers.

Events are a variant of a struct per kind. Fleet in fleet.cpp only joins them. The order of events and of random draws is the same.

--- /dev/null
+++ b/scale/simulation/destination.cpp
@@ -0,0 +1,117 @@
+#include "simulation/destination.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace scale_tool::simulation {
+namespace {
+
+constexpr Time kMicrosecondsPerMillisecond = 1'000;
+
+std::unique_ptr<RateLimiter> make_rate_limiter(double rate_limit, const DestinationTraits& traits) {
+  if (traits.has_fixed_window)
+    return std::make_unique<FixedWindow>(rate_limit, traits.window, traits.phase, traits.rejected_calls);
+  return std::make_unique<TokenBucket>(rate_limit, traits.bucket_fill_time, traits.rejected_calls);
+}
+
+}  // namespace
+
+DestinationTraits draw_traits(const DestinationSettings& settings, RandomSource& random) {
+  DestinationTraits traits;
+  traits.has_fixed_window = random.bernoulli(settings.fixed_window_fraction);
+  traits.window = random.uniform(settings.min_window, settings.max_window);
+  // A bucket that holds less than one token would admit no call.
+  traits.bucket_fill_time = std::max(
+      random.uniform(settings.min_bucket_fill_time, settings.max_bucket_fill_time), 1 / settings.rate_limit);
+  traits.rejected_calls =
+      random.bernoulli(settings.rejections_count_fraction) ? RejectedCalls::counted : RejectedCalls::free;
+  traits.retry_after_probability =
+      random.uniform(settings.min_retry_after_probability, settings.max_retry_after_probability);
+  traits.full_capacity =
+      settings.rate_limit * random.uniform(settings.min_capacity_ratio, settings.max_capacity_ratio);
+  traits.phase = random.uniform();
+  return traits;
+}
+
+Destination::Destination(const DestinationSettings& settings, double load, const DestinationTraits& traits)
+    : settings_(settings),
+      rate_limit_(settings.rate_limit),
+      load_(load),
+      traits_(traits),
+      rate_limiter_(make_rate_limiter(rate_limit_, traits)),
+      load_reporter_(settings, rate_limit_),
+      overrun_meter_(rate_limit_, rate_limiter_->period()),
+      overload_detector_(settings) {}
+
+double Destination::listed_weight() const {
+  // Any number that is fixed for the destination serves: all relays must see the same weight.
+  const double fixed_random = std::fmod(traits_.phase * 7, 1);
+  const double error = settings_.max_weight_error * (2 * fixed_random - 1);
+  return rate_limit_ * (1 + error);
+}
+
+bool Destination::is_down(Time at) const {
+  return collapse_ != Overload::none || (at >= down_from_ && at < up_at_);
+}
+
+bool Destination::is_in_slow_start(Time now) const {
+  return now >= up_at_ && now < up_at_ + to_microseconds(settings_.slow_start_duration);
+}
+
+double Destination::capacity(Time now) const {
+  const double progress = to_seconds(now - up_at_) / settings_.slow_start_duration;
+  const double start = settings_.slow_start_capacity;
+  return traits_.full_capacity * std::min(1.0, start + (1 - start) * std::max(0.0, progress));
+}
+
+bool Destination::begin_outage(Time now, Time duration) {
+  const bool has_recovered = now >= up_at_ + to_microseconds(settings_.slow_start_duration);
+  if (collapse_ != Overload::none || !has_recovered) return false;
+  down_from_ = now;
+  up_at_ = now + duration;
+  notified_relays_.clear();
+  overload_detector_.clear();
+  return true;
+}
+
+CallReply Destination::receive_call(Time now, RelayIndex relay, RandomSource& random) {
+  overrun_meter_.record_call(now);
+  const double capacity_now = capacity(now);
+  if (!is_down(now) && is_in_slow_start(now))
+    collapse_ = overload_detector_.record_call(now, notified_relays_.contains(relay), capacity_now);
+  if (is_down(now)) {
+    CallReply reply;
+    reply.outcome = dispatch::Outcome::connect_failed;
+    return reply;
+  }
+  queued_calls_ = std::max(0.0, queued_calls_ - capacity_now * to_seconds(now - queue_updated_at_));
+  queue_updated_at_ = now;
+  const std::optional<Time> retry_after = rate_limiter_->admit(now);
+  const bool queue_is_full = queued_calls_ > std::max(1.0, capacity_now * traits_.bucket_fill_time);
+  if (retry_after || queue_is_full) return reject(now, retry_after, random);
+  return serve(now, capacity_now, random);
+}
+
+CallReply Destination::reject(Time now, std::optional<Time> retry_after, RandomSource& random) {
+  CallReply reply;
+  reply.outcome = dispatch::Outcome::rejected;
+  if (retry_after && random.bernoulli(traits_.retry_after_probability))
+    reply.retry_after = (*retry_after + kMicrosecondsPerMillisecond - 1) / kMicrosecondsPerMillisecond *
+                        kMicrosecondsPerMillisecond;
+  reply.load_report = load_reporter_.report(now, *rate_limiter_, random);
+  return reply;
+}
+
+CallReply Destination::serve(Time now, double capacity, RandomSource& random) {
+  const double queueing_time = queued_calls_ / capacity;
+  queued_calls_ += 1;
+  CallReply reply;
+  reply.outcome = dispatch::Outcome::succeeded;
+  reply.load_report = load_reporter_.report(now, *rate_limiter_, random);
+  const double service_time =
+      random.log_normal(settings_.mean_service_time, settings_.service_time_variation);
+  reply.processing_time = to_microseconds(queueing_time + service_time);
+  return reply;
+}
+
+}  // namespace scale_tool::simulation
--- /dev/null
+++ b/scale/simulation/virtual_time.hpp
@@ -0,0 +1,23 @@
+// The clock of the simulation: microseconds since its start.
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+
+#include "dispatch/dispatcher.hpp"
+
+namespace scale_tool::simulation {
+
+using dispatch::Time;
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+// Later than all that happens, and small enough to have durations added to it.
+constexpr Time kNever = INT64_MAX / 4;
+
+inline Time to_microseconds(double seconds) {
+  return static_cast<Time>(std::llround(seconds * kMicrosecondsPerSecond));
+}
+
+inline double to_seconds(Time time) { return static_cast<double>(time) / kMicrosecondsPerSecond; }
+
+}  // namespace scale_tool::simulation
