--- a/scale/experiment.cpp
+++ b/scale/experiment.cpp
@@ -1,76 +1,90 @@
 #include "experiment.hpp"
 
+#include <optional>
 #include <sstream>
 
 namespace scale_tool {
 namespace {
 
-template <class T>
-std::string range(T least, T most) {
+template <class Number>
+std::string range_problem(Number min, Number max) {
   std::ostringstream out;
-  out << "must lie between " << least << " and " << most;
+  out << "must lie between " << min << " and " << max;
   return out.str();
 }
 
+std::optional<std::int64_t> integer_between(const toml::node& node, std::int64_t min, std::int64_t max) {
+  const std::optional<std::int64_t> number = node.value_exact<std::int64_t>();
+  if (!number || *number < min || *number > max) return std::nullopt;
+  return number;
+}
+
 }  // namespace
 
-Experiment::Experiment(const std::string& path, const std::string& table) : path_(path), name_(table) {
+Experiment::Experiment(const std::string& path, const std::string& table) : path_(path), table_name_(table) {
   if (path.empty()) return;
   try {
     file_ = toml::parse_file(path);
-  } catch (const toml::parse_error& e) {
-    const auto line = e.source().begin.line;
-    throw BadInput(path + (line > 0 ? ":" + std::to_string(line) : "") + ": " + std::string(e.description()));
+  } catch (const toml::parse_error& error) {
+    const auto line = error.source().begin.line;
+    const std::string place = line > 0 ? path + ":" + std::to_string(line) : path;
+    throw BadInput(place + ": " + std::string(error.description()));
   }
   const toml::node* node = file_.get(table);
   if (node == nullptr) return;
   table_ = node->as_table();
-  if (table_ == nullptr) bad(*node, "", "must be a table");
+  if (table_ == nullptr) fail(*node, "", "must be a table");
 }
 
 const toml::node* Experiment::find(const std::string& key) {
-  known_.insert(key);
+  known_keys_.insert(key);
   return table_ == nullptr ? nullptr : table_->get(key);
 }
 
-void Experiment::bad(const toml::node& node, const std::string& key, const std::string& what) const {
-  throw BadInput(path_ + ":" + std::to_string(node.source().begin.line) + ": " + name_ +
-                 (key.empty() ? "" : "." + key) + ": " + what);
+void Experiment::fail(const toml::node& node, const std::string& key, const std::string& problem) const {
+  const std::string name = key.empty() ? table_name_ : table_name_ + "." + key;
+  throw BadInput(path_ + ":" + std::to_string(node.source().begin.line) + ": " + name + ": " + problem);
 }
 
-void Experiment::refuse(const std::string& key, const std::string& what) const {
+void Experiment::reject(const std::string& key, const std::string& problem) const {
   const toml::node* node = table_ == nullptr ? nullptr : table_->get(key);
-  if (node == nullptr) throw BadInput(name_ + "." + key + ": " + what);
-  bad(*node, key, what);
+  if (node == nullptr) throw BadInput(table_name_ + "." + key + ": " + problem);
+  fail(*node, key, problem);
 }
 
-void Experiment::read(const std::string& key, double& value, double least, double most) {
+void Experiment::read(const std::string& key, double& value, double min, double max) {
   const toml::node* node = find(key);
   if (node == nullptr) return;
-  const auto number = node->value<double>();
-  if (!number || !(*number >= least && *number <= most)) bad(*node, key, range(least, most));
+  const std::optional<double> number = node->value<double>();
+  const bool is_in_range = number && *number >= min && *number <= max;  // false for NaN
+  if (!is_in_range) fail(*node, key, range_problem(min, max));
   value = *number;
 }
 
-void Experiment::read(const std::string& key, std::int64_t& value, std::int64_t least, std::int64_t most) {
+void Experiment::read(const std::string& key, int& value, int min, int max) {
+  std::int64_t number = value;
+  read(key, number, std::int64_t{min}, std::int64_t{max});
+  value = static_cast<int>(number);
+}
+
+void Experiment::read(const std::string& key, std::int64_t& value, std::int64_t min, std::int64_t max) {
   const toml::node* node = find(key);
   if (node == nullptr) return;
-  const auto number = node->value_exact<std::int64_t>();
-  if (!number || *number < least || *number > most) bad(*node, key, "a whole number, " + range(least, most));
+  const auto number = integer_between(*node, min, max);
+  if (!number) fail(*node, key, "a whole number, " + range_problem(min, max));
   value = *number;
 }
 
-void Experiment::read(const std::string& key, std::vector<std::int64_t>& values, std::int64_t least,
-                      std::int64_t most) {
+void Experiment::read(const std::string& key, std::vector<std::int64_t>& values, std::int64_t min,
+                      std::int64_t max) {
   const toml::node* node = find(key);
   if (node == nullptr) return;
   const toml::array* list = node->as_array();
-  if (list == nullptr || list->empty()) bad(*node, key, "must be a list of whole numbers");
+  if (list == nullptr || list->empty()) fail(*node, key, "must be a list of whole numbers");
   values.clear();
-  for (const auto& one : *list) {
-    const auto number = one.value_exact<std::int64_t>();
-    if (!number || *number < least || *number > most)
-      bad(one, key, "whole numbers, each " + range(least, most));
+  for (const toml::node& element : *list) {
+    const auto number = integer_between(element, min, max);
+    if (!number) fail(element, key, "whole numbers, each " + range_problem(min, max));
     values.push_back(*number);
   }
 }
@@ -78,15 +92,17 @@
 void Experiment::read(const std::string& key, bool& value) {
   const toml::node* node = find(key);
   if (node == nullptr) return;
-  const auto on = node->value_exact<bool>();
-  if (!on) bad(*node, key, "must be true or false");
-  value = *on;
+  const std::optional<bool> flag = node->value_exact<bool>();
+  if (!flag) fail(*node, key, "must be true or false");
+  value = *flag;
 }
 
 void Experiment::finish() const {
   if (table_ == nullptr) return;
-  for (const auto& [key, node] : *table_)
-    if (known_.count(std::string(key.str())) == 0) bad(node, std::string(key.str()), "unknown");
+  for (const auto& [key, node] : *table_) {
+    const std::string name(key.str());
+    if (!known_keys_.contains(name)) fail(node, name, "unknown");
+  }
 }
 
 }  // namespace scale_tool
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -16,7 +16,7 @@
   experiment.read(key, sizes, 1, kMostSize);
   std::sort(sizes.begin(), sizes.end());
   sizes.erase(std::unique(sizes.begin(), sizes.end()), sizes.end());
-  if (sizes.size() < 2) experiment.refuse(key, "two different sizes are needed");
+  if (sizes.size() < 2) experiment.reject(key, "two different sizes are needed");
 }
 
 std::string text_of(const std::vector<double>& sizes) {
