--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -192,17 +192,6 @@
 
 }  // namespace
 
-FileDescriptor& FileDescriptor::operator=(FileDescriptor&& other) noexcept {
-  if (this != &other) {
-    if (fd_ >= 0) ::close(fd_);
-    fd_ = other.release();
-  }
-  return *this;
-}
-FileDescriptor::~FileDescriptor() {
-  if (fd_ >= 0) ::close(fd_);
-}
-
 void HandoverChannel::set_timeout(std::chrono::milliseconds each) {
   set_limit(socket_.get(), SO_RCVTIMEO, each);
   set_limit(socket_.get(), SO_SNDTIMEO, each);
--- a/relay/handover.hpp
+++ b/relay/handover.hpp
@@ -20,25 +20,11 @@
 #include "clock.hpp"
 #include "delivery_client.hpp"
 #include "endpoint_list.hpp"
+#include "file_descriptor.hpp"
 #include "ingress_server.hpp"
 
 namespace message_relay {
 
-// A file descriptor with its owner.
-class FileDescriptor {
- public:
-  explicit FileDescriptor(int fd = -1) : fd_(fd) {}
-  FileDescriptor(FileDescriptor&& other) noexcept : fd_(other.release()) {}
-  FileDescriptor& operator=(FileDescriptor&& other) noexcept;
-  ~FileDescriptor();
-  int get() const { return fd_; }
-  int release() { return std::exchange(fd_, -1); }
-  explicit operator bool() const { return fd_ >= 0; }
-
- private:
-  int fd_;
-};
-
 // Frames over a Unix socket, blocking; a descriptor may go along with each.
 class HandoverChannel {
  public:
