--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -568,7 +568,7 @@
     return "ERR no list has named " + id + "\n";
   const bool changes = on != (journal_.suspended_endpoints().count(id) > 0);
   if (changes) {
-    journal_.record_suspension(id, on);
+    journal_.record_suspension(id, on ? SuspensionState::suspended : SuspensionState::restored);
     if (on) leave(id);
     // Decided in a round of its own: calls decided before it have gone, those of later ones keep it.
     events_.emplace_back(event::EndpointSuspension{id, on});
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -191,10 +191,13 @@
 TEST_F(JournalTest, SuspensionsSurviveCompaction) {
   {
     Journal j(folder, kLimit);
-    j.record_suspension("s-1", true), j.record_suspension("s-2", true), j.record_suspension("s-2", true);
+    j.record_suspension("s-1", SuspensionState::suspended);
+    j.record_suspension("s-2", SuspensionState::suspended);
+    j.record_suspension("s-2", SuspensionState::suspended);
     for (MessageId id = 1; id <= 40; id++) j.record_message(id, message("m", 20'000));
     EXPECT_TRUE(j.compact());  // a first step, with more to do
-    j.record_suspension("s-2", false), j.record_suspension("s-3", true);
+    j.record_suspension("s-2", SuspensionState::restored);
+    j.record_suspension("s-3", SuspensionState::suspended);
     while (j.compact()) {
     }
     EXPECT_TRUE(j.commit());
--- a/tests/stored_data_test.cpp
+++ b/tests/stored_data_test.cpp
@@ -193,10 +193,10 @@
   journal.record_completed(5);
   journal.record_final_answer(4, {true, 250'000});
   journal.record_final_answer(6, {false, 0});
-  journal.record_suspension("s-1", true);
-  journal.record_suspension("s-2", true);
-  journal.record_suspension("s-3", true);
-  journal.record_suspension("s-2", false);
+  journal.record_suspension("s-1", SuspensionState::suspended);
+  journal.record_suspension("s-2", SuspensionState::suspended);
+  journal.record_suspension("s-3", SuspensionState::suspended);
+  journal.record_suspension("s-2", SuspensionState::restored);
   ASSERT_TRUE(journal.commit());
   const std::string stored = content(kDataFolder + "/journal");
   ASSERT_GT(stored.size(), kTornBytes);
