--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -1,4 +1,4 @@
-// The folder that lasts: what is found again after any cut, and the room it takes.
+// The journal: what is recovered from a file that was cut off anywhere, and the capacity it takes.
 #include "journal.hpp"
 
 #include <gtest/gtest.h>
@@ -14,17 +14,20 @@
 
 class JournalTest : public ::testing::Test {
  protected:
-  JournalTest()
-      : folder((fs::temp_directory_path() / ("journal-test-" + std::to_string(::getpid()))).string()) {
+  void SetUp() override {
     fs::remove_all(folder);
     fs::create_directories(folder);
   }
-  ~JournalTest() override { fs::remove_all(folder); }
+  void TearDown() override { fs::remove_all(folder); }
 
   static Message message(const std::string& id, std::size_t body = 5) {
     Message m;
-    m.id = id, m.message_class = "pay-and-order", m.tenant = "acme";
-    m.destination = 7, m.deadline = 123'456'789, m.resubmitted = true;
+    m.id = id;
+    m.message_class = "pay-and-order";
+    m.tenant = "acme";
+    m.destination = 7;
+    m.deadline = 123'456'789;
+    m.resubmitted = true;
     m.body = std::string(body, '\0') + "x";
     return m;
   }
@@ -40,22 +43,28 @@
     return sum;
   }
 
-  std::string folder;
+  const std::string folder =
+      (fs::temp_directory_path() / ("journal-test-" + std::to_string(::getpid()))).string();
   static constexpr std::uint64_t kLimit = 3'000'000;
 };
 
-TEST_F(JournalTest, FindsAgainWhatWasWritten) {
+TEST_F(JournalTest, RecoversWhatWasWritten) {
   {
-    Journal j(folder, kLimit);
-    j.record_message(1, message("a")), j.record_message(2, message("b")), j.record_message(3, message("c"));
-    j.record_attempt(1, 1000, 2), j.record_outcome(1, 0, Outcome::rejected), j.record_attempt(1, 2000, 1);
-    j.record_final_answer(2, {true, 500}), j.record_completed(3);
-    EXPECT_TRUE(j.commit());
+    Journal journal(folder, kLimit);
+    journal.record_message(1, message("a"));
+    journal.record_message(2, message("b"));
+    journal.record_message(3, message("c"));
+    journal.record_attempt(1, 1000, 2);
+    journal.record_outcome(1, 0, Outcome::rejected);
+    journal.record_attempt(1, 2000, 1);
+    journal.record_final_answer(2, {true, 500});
+    journal.record_completed(3);
+    EXPECT_TRUE(journal.commit());
   }
-  const Journal j(folder, kLimit);
-  EXPECT_EQ(j.dropped_bytes(), 0u);
-  ASSERT_EQ(j.messages().size(), 2u);
-  const JournaledMessage& a = j.messages().at(1);
+  const Journal journal(folder, kLimit);
+  EXPECT_EQ(journal.dropped_bytes(), 0U);
+  ASSERT_EQ(journal.messages().size(), 2U);
+  const JournaledMessage& a = journal.messages().at(1);
   EXPECT_EQ(a.message.id, "a");
   EXPECT_EQ(a.message.message_class, "pay-and-order");
   EXPECT_EQ(a.message.tenant, "acme");
@@ -63,14 +72,14 @@
   EXPECT_EQ(a.message.deadline, 123'456'789);
   EXPECT_TRUE(a.message.resubmitted);
   EXPECT_EQ(a.message.body, std::string(5, '\0') + "x");
-  ASSERT_EQ(a.attempts.size(), 2u);
+  ASSERT_EQ(a.attempts.size(), 2U);
   EXPECT_FALSE(a.attempts[0].may_have_executed());
   EXPECT_TRUE(a.attempts[1].may_have_executed());  // no outcome was seen
   EXPECT_EQ(a.attempts[1].sent_at, 2000);
   EXPECT_EQ(a.attempts[1].zone, 1);
-  ASSERT_TRUE(j.messages().at(2).final_answer.has_value());
-  EXPECT_TRUE(j.messages().at(2).final_answer->retryable);
-  EXPECT_EQ(j.messages().at(2).final_answer->retry_after, 500);
+  ASSERT_TRUE(journal.messages().at(2).final_answer.has_value());
+  EXPECT_TRUE(journal.messages().at(2).final_answer->retryable);
+  EXPECT_EQ(journal.messages().at(2).final_answer->retry_after, 500);
 }
 
 // A process may be killed within any write: whole records before the cut count, the torn one never.
@@ -78,10 +87,10 @@
   std::string whole;
   std::vector<std::size_t> ends;
   {
-    Journal j(folder, kLimit);
+    Journal journal(folder, kLimit);
     for (MessageId id = 1; id <= 3; id++) {
-      j.record_message(id, message(std::to_string(id)));
-      ASSERT_TRUE(j.commit());
+      journal.record_message(id, message(std::to_string(id)));
+      ASSERT_TRUE(journal.commit());
       ends.push_back(content().size());
     }
     whole = content();
@@ -91,45 +100,47 @@
     std::size_t expected = 0;
     for (const auto end : ends) expected += cut >= end;
     {
-      Journal j(folder, kLimit);
-      ASSERT_EQ(j.messages().size(), expected) << "cut at " << cut;
-      j.record_message(9, message("new"));
-      ASSERT_TRUE(j.commit());
+      Journal journal(folder, kLimit);
+      ASSERT_EQ(journal.messages().size(), expected) << "cut at " << cut;
+      journal.record_message(9, message("new"));
+      ASSERT_TRUE(journal.commit());
     }
     const Journal again(folder, kLimit);
     ASSERT_EQ(again.messages().size(), expected + 1) << "cut at " << cut;
-    ASSERT_EQ(again.dropped_bytes(), 0u);
+    ASSERT_EQ(again.dropped_bytes(), 0U);
   }
 }
 
 // A message comes back with its keys or not at all, cut at any byte and compacted; no later one gets them.
-TEST_F(JournalTest, KeysComeWithTheirMessageOrNotAtAll) {
+TEST_F(JournalTest, KeysAreRecoveredWithTheirMessageOrNotAtAll) {
   const auto with_keys = [](const std::string& id) {
     Message m = message(id);
-    m.idempotency_key = "key-" + id, m.order_key = "about-" + id;
+    m.idempotency_key = "key-" + id;
+    m.order_key = "about-" + id;
     return m;
   };
   std::string whole;
   {
-    Journal j(folder, kLimit);
-    j.record_message(1, message("plain")), j.record_message(2, with_keys("a"));
-    ASSERT_TRUE(j.commit());
-    while (j.compact()) {
+    Journal journal(folder, kLimit);
+    journal.record_message(1, message("plain"));
+    journal.record_message(2, with_keys("a"));
+    ASSERT_TRUE(journal.commit());
+    while (journal.compact()) {
     }
     whole = content();
   }
   for (std::size_t cut = 0; cut <= whole.size(); cut++) {
     write(whole.substr(0, cut));
     {
-      Journal j(folder, kLimit);
-      const auto held = j.messages().find(2);
-      ASSERT_EQ(held != j.messages().end(), cut == whole.size());
-      if (held == j.messages().end()) {
-        j.record_message(2, message("next"));
+      Journal journal(folder, kLimit);
+      const auto held = journal.messages().find(2);
+      ASSERT_EQ(held != journal.messages().end(), cut == whole.size());
+      if (held == journal.messages().end()) {
+        journal.record_message(2, message("next"));
       } else {
         EXPECT_EQ(held->second.message.order_key, "about-a");
       }
-      ASSERT_TRUE(j.commit());
+      ASSERT_TRUE(journal.commit());
     }
     const Journal again(folder, kLimit);
     const Message& m = again.messages().at(2).message;
@@ -137,52 +148,53 @@
   }
 }
 
-TEST_F(JournalTest, ADamagedRecordEndsWhatIsRead) {
+TEST_F(JournalTest, ADamagedRecordEndsTheRecovery) {
   {
-    Journal j(folder, kLimit);
-    j.record_message(1, message("a")), j.record_message(2, message("b"));
-    ASSERT_TRUE(j.commit());
+    Journal journal(folder, kLimit);
+    journal.record_message(1, message("a"));
+    journal.record_message(2, message("b"));
+    ASSERT_TRUE(journal.commit());
   }
   auto bytes = content();
   bytes[bytes.size() - 3] = static_cast<char>(bytes[bytes.size() - 3] ^ 1);
   write(bytes);
-  const Journal j(folder, kLimit);
-  EXPECT_EQ(j.messages().size(), 1u);
-  EXPECT_GT(j.dropped_bytes(), 0u);
+  const Journal journal(folder, kLimit);
+  EXPECT_EQ(journal.messages().size(), 1U);
+  EXPECT_GT(journal.dropped_bytes(), 0U);
 }
 
-TEST_F(JournalTest, AFileOfSomethingElseIsNoJournal) {
+TEST_F(JournalTest, AFileWithoutTheHeaderIsNoJournal) {
   write("something else altogether\n");
-  Journal j(folder, kLimit);
-  EXPECT_TRUE(j.messages().empty());
-  EXPECT_GT(j.dropped_bytes(), 0u);
-  j.record_message(1, message("a"));
-  EXPECT_TRUE(j.commit());
-  EXPECT_EQ(Journal(folder, kLimit).messages().size(), 1u);
+  Journal journal(folder, kLimit);
+  EXPECT_TRUE(journal.messages().empty());
+  EXPECT_GT(journal.dropped_bytes(), 0U);
+  journal.record_message(1, message("a"));
+  EXPECT_TRUE(journal.commit());
+  EXPECT_EQ(Journal(folder, kLimit).messages().size(), 1U);
 }
 
 // Large bodies fill the folder fast: it stays under its limit at every step, nothing held is lost, and room
 // comes back once messages are over.
 TEST_F(JournalTest, StaysUnderItsLimitWithLargeBodies) {
-  Journal j(folder, kLimit);
+  Journal journal(folder, kLimit);
   MessageId next = 1, first = 1;
   int refused = 0;
   for (int i = 0; i < 1000; i++) {
     const Message m = message(std::to_string(next), 64 * 1024 - 1);
-    if (j.has_capacity_for(m)) {
-      j.record_message(next++, m);
+    if (journal.has_capacity_for(m)) {
+      journal.record_message(next++, m);
     } else {
       refused++;
-      if (first < next) j.record_completed(first++);
+      if (first < next) journal.record_completed(first++);
     }
-    ASSERT_TRUE(j.commit());
+    ASSERT_TRUE(journal.commit());
     ASSERT_LE(on_disk(), kLimit);
-    if (j.wants_compaction()) j.compact();
+    if (journal.wants_compaction()) journal.compact();
     ASSERT_LE(on_disk(), kLimit);
   }
   EXPECT_GT(refused, 0);
-  EXPECT_GT(next, 200u);  // far more went through than fit at once
-  const auto held = j.messages().size();
+  EXPECT_GT(next, 200U);  // far more went through than fit at once
+  const auto held = journal.messages().size();
   EXPECT_EQ(held, next - first);
   EXPECT_EQ(Journal(folder, kLimit).messages().size(), held);
 }
@@ -190,45 +202,47 @@
 // Endpoints left out by hand stay so through compaction, whatever is called while it goes on.
 TEST_F(JournalTest, SuspensionsSurviveCompaction) {
   {
-    Journal j(folder, kLimit);
-    j.record_suspension("s-1", SuspensionState::suspended);
-    j.record_suspension("s-2", SuspensionState::suspended);
-    j.record_suspension("s-2", SuspensionState::suspended);
-    for (MessageId id = 1; id <= 40; id++) j.record_message(id, message("m", 20'000));
-    EXPECT_TRUE(j.compact());  // a first step, with more to do
-    j.record_suspension("s-2", SuspensionState::restored);
-    j.record_suspension("s-3", SuspensionState::suspended);
-    while (j.compact()) {
+    Journal journal(folder, kLimit);
+    journal.record_suspension("s-1", SuspensionState::suspended);
+    journal.record_suspension("s-2", SuspensionState::suspended);
+    journal.record_suspension("s-2", SuspensionState::suspended);
+    for (MessageId id = 1; id <= 40; id++) journal.record_message(id, message("m", 20'000));
+    EXPECT_TRUE(journal.compact());  // a first step, with more to do
+    journal.record_suspension("s-2", SuspensionState::restored);
+    journal.record_suspension("s-3", SuspensionState::suspended);
+    while (journal.compact()) {
     }
-    EXPECT_TRUE(j.commit());
+    EXPECT_TRUE(journal.commit());
   }
-  const Journal j(folder, kLimit);
-  EXPECT_EQ(j.suspended_endpoints(), (std::set<std::string>{"s-1", "s-3"}));
-  EXPECT_EQ(j.messages().size(), 40u);
+  const Journal journal(folder, kLimit);
+  EXPECT_EQ(journal.suspended_endpoints(), (std::set<std::string>{"s-1", "s-3"}));
+  EXPECT_EQ(journal.messages().size(), 40U);
 }
 
 // Killed at any step of a compaction, with news written between the steps, all that is held is found again.
-TEST_F(JournalTest, CompactionMayStopAtAnyStep) {
+TEST_F(JournalTest, CompactionMayBeInterruptedAtAnyStep) {
   for (int stop = 0; stop < 12; stop++) {
     fs::remove_all(folder);
     fs::create_directories(folder);
     const std::string copy = folder + "-copy";
     std::map<MessageId, std::size_t> expected;
     {
-      Journal j(folder, kLimit);
-      for (MessageId id = 1; id <= 12; id++) j.record_message(id, message(std::to_string(id), 64 * 1024 - 1));
-      ASSERT_TRUE(j.commit());
+      Journal journal(folder, kLimit);
+      for (MessageId id = 1; id <= 12; id++)
+        journal.record_message(id, message(std::to_string(id), 64 * 1024 - 1));
+      ASSERT_TRUE(journal.commit());
       MessageId id = 100;
       for (int step = 0; step < stop; step++) {
-        j.compact();
-        j.record_message(id, message(std::to_string(id))), j.record_attempt(id, 1, 0);
-        j.record_attempt(1, 1, 0),
-            j.record_attempt(12, 1, 0);  // one that was copied by now, and one that may not be
-        if (step == 3) j.record_completed(5);
+        journal.compact();
+        journal.record_message(id, message(std::to_string(id)));
+        journal.record_attempt(id, 1, 0);
+        journal.record_attempt(1, 1, 0);   // copied by now
+        journal.record_attempt(12, 1, 0);  // may not be copied yet
+        if (step == 3) journal.record_completed(5);
         id++;
-        ASSERT_TRUE(j.commit());
+        ASSERT_TRUE(journal.commit());
       }
-      for (const auto& [number, held] : j.messages()) expected[number] = held.attempts.size();
+      for (const auto& [number, held] : journal.messages()) expected[number] = held.attempts.size();
       fs::remove_all(copy);
       fs::copy(folder, copy);  // what SIGKILL would leave
     }
@@ -245,27 +259,28 @@
 
 // What is set aside for a message is the length of its own records, whatever it holds, and the same for those
 // to come.
-TEST_F(JournalTest, TheCostOfAMessageIsTheLengthOfItsRecords) {
+TEST_F(JournalTest, ReservedBytesAreTheLengthOfTheRecords) {
   Message bare, keyed = message("a"), ordered = message("long id", 5000);
-  keyed.idempotency_key = "key", ordered.order_key = "about";
+  keyed.idempotency_key = "key";
+  ordered.order_key = "about";
   std::vector<std::uint64_t> later;
   for (const Message& m : {bare, message("b"), keyed, ordered}) {
-    Journal j(folder, kLimit);
+    Journal journal(folder, kLimit);
     const auto before = content().size();
-    j.record_message(1 + later.size(), m);
-    ASSERT_TRUE(j.commit());
+    journal.record_message(1 + later.size(), m);
+    ASSERT_TRUE(journal.commit());
     later.push_back(Journal::reserved_bytes(m) - (content().size() - before));
   }
   EXPECT_EQ(later, std::vector<std::uint64_t>(4, later[0]));
-  EXPECT_GE(later[0], 8u * 50);  // eight attempts
-  EXPECT_LT(later[0], 1000u);
+  EXPECT_GE(later[0], 8U * 50);  // eight attempts
+  EXPECT_LT(later[0], 1000U);
 }
 
-TEST_F(JournalTest, NoRoomIsToldBeforeAMessageIsTaken) {
-  Journal j(folder, 200'000);
-  EXPECT_TRUE(j.has_capacity_for(message("a", 1000)));
-  EXPECT_FALSE(j.has_capacity_for(message("a", 100'000)));
-  EXPECT_FALSE(j.has_capacity_for(message("a", 1000), 90'000));
+TEST_F(JournalTest, LackOfCapacityIsReportedBeforeAMessageIsAccepted) {
+  Journal journal(folder, 200'000);
+  EXPECT_TRUE(journal.has_capacity_for(message("a", 1000)));
+  EXPECT_FALSE(journal.has_capacity_for(message("a", 100'000)));
+  EXPECT_FALSE(journal.has_capacity_for(message("a", 1000), 90'000));
 }
 
 }  // namespace
