--- a/relay/operator_commands.cpp
+++ b/relay/operator_commands.cpp
@@ -32,9 +32,9 @@
     case OperatorVerb::metrics:
       return metrics();
     case OperatorVerb::suspend:
-      return change_suspension(command.endpoint, Suspension::suspend);
+      return change_suspension(command.endpoint, SuspensionState::suspended);
     case OperatorVerb::restore:
-      return change_suspension(command.endpoint, Suspension::restore);
+      return change_suspension(command.endpoint, SuspensionState::restored);
     case OperatorVerb::pause:
       return pause();
     case OperatorVerb::resume:
@@ -57,19 +57,20 @@
   return parts_.metrics.render(gauges) + "END\n";
 }
 
-std::string OperatorCommands::change_suspension(const EndpointId& id, Suspension change) {
+std::string OperatorCommands::change_suspension(const EndpointId& id, SuspensionState change) {
   const bool suspended = is_suspended(id);
   if (!suspended && !parts_.directory.was_ever_listed(id)) return err("no list has named " + id);
-  const bool changes = suspended != (change == Suspension::suspend);
+  const bool changes = suspended != (change == SuspensionState::suspended);
   if (changes) apply_suspension(id, change);
   if (!parts_.write_ahead.journal_writable())
     return err(id + ": done, but the journal can't be written; a restart would forget it");
-  return ok(id + (change == Suspension::suspend ? " suspended" : " restored") + (changes ? "" : " already"));
+  return ok(id + (change == SuspensionState::suspended ? " suspended" : " restored") +
+            (changes ? "" : " already"));
 }
 
-void OperatorCommands::apply_suspension(const EndpointId& id, Suspension change) {
-  const bool suspend = change == Suspension::suspend;
-  parts_.journal.record_suspension(id, suspend);
+void OperatorCommands::apply_suspension(const EndpointId& id, SuspensionState change) {
+  const bool suspend = change == SuspensionState::suspended;
+  parts_.journal.record_suspension(id, change);
   if (suspend) {
     parts_.delivery.cancel_unsent(id);
     parts_.delivery.close_idle(id);
--- a/relay/operator_commands.hpp
+++ b/relay/operator_commands.hpp
@@ -35,12 +35,10 @@
   [[nodiscard]] std::string run(const OperatorCommand& command);
 
  private:
-  enum class Suspension { suspend, restore };
-
   [[nodiscard]] std::string status() const;
   [[nodiscard]] std::string metrics() const;
-  [[nodiscard]] std::string change_suspension(const EndpointId& id, Suspension change);
-  void apply_suspension(const EndpointId& id, Suspension change);
+  [[nodiscard]] std::string change_suspension(const EndpointId& id, SuspensionState change);
+  void apply_suspension(const EndpointId& id, SuspensionState change);
   [[nodiscard]] bool is_suspended(const EndpointId& id) const;
   [[nodiscard]] std::string pause();
   [[nodiscard]] std::string resume();
