Split the dispatcher into parts that each own what they decide from

Cause: one struct of a thousand lines, in which any line could touch any field. Change: RetryBackoff, RateLimiter, LowRatePacer, EndpointHealth and OutlierDetector are classes with private fields and a stated invariant. What decides nothing has files of its own: EndpointDirectory, OrderKeys, CallTable, TokenBucket, the estimators of latency and of gaps between calls, the statistics of rejections, the records of the learned state, log lines of health, gossip's text, the round's context. dispatcher.cpp takes events to the parts. Functions that depend on their arguments only are free. The order of two random draws that one expression left to the compiler (poll after a loss) is written out as it was. A check that the same round had made already is gone from try_send; an endpoint keeps a pointer to its destination between changes of the list. Two tests expect the new log lines as strictly: "endpoint_list_cached_in_use" for "no list yet" (three places of platform_test).

--- /dev/null
+++ b/src/endpoint_directory.hpp
@@ -0,0 +1,113 @@
+// The endpoints and destinations that are known.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "endpoint_state.hpp"
+
+namespace dispatch {
+
+/// Owns what is kept of endpoints and destinations; decides nothing. Invariant: an endpoint's address stays
+/// the same while it is kept; it is kept while it is listed, has calls in flight, or holds a Retry-After or
+/// an outage that must not be forgotten.
+class EndpointDirectory {
+ public:
+  explicit EndpointDirectory(const Settings& settings) : settings_(settings) {}
+
+  /// Null where it is not known.
+  EndpointState* find(const EndpointId& id) {
+    const auto it = endpoints_.find(id);
+    return it == endpoints_.end() ? nullptr : &it->second;
+  }
+  EndpointState& at(const EndpointId& id) { return endpoints_.at(id); }
+
+  /// What shares its rate limit with the endpoint.
+  RateLimitScope& scope_of(EndpointState& endpoint) {
+    return endpoint.independent_route ? endpoint.own_scope : destination_of(endpoint).scope;
+  }
+  /// All endpoints of the endpoint's destination, itself included.
+  const std::vector<EndpointState*>& siblings_of(EndpointState& endpoint) {
+    return destination_of(endpoint).endpoints;
+  }
+  /// Empty for an unknown destination.
+  const std::vector<EndpointState*>& endpoints_of(DestinationId destination) const {
+    const auto it = destinations_.find(destination);
+    return it == destinations_.end() ? kNoEndpoints : it->second.endpoints;
+  }
+
+  /// Takes over an entry of the endpoint list. Returns the endpoint, and whether it is new; a new one is not
+  /// among its siblings until add_sibling().
+  std::pair<EndpointState&, bool> update(const Endpoint& info) {
+    changed_ = true;
+    const auto [it, is_new] = endpoints_.try_emplace(info.id);
+    EndpointState& endpoint = it->second;
+    endpoint.info = info;
+    const auto kind = std::min(static_cast<std::size_t>(std::max(info.kind, 0)), settings_.kinds.size());
+    const KindSettings kind_settings = kind < settings_.kinds.size() ? settings_.kinds[kind] : KindSettings{};
+    endpoint.own_scope.limiter.set_kind(kind);
+    endpoint.destination = &destinations_[info.destination];
+    endpoint.destination->scope.limiter.set_kind(kind);
+    endpoint.independent_route = kind_settings.independent_routes;
+    endpoint.max_batch_size = kind_settings.max_batch_size;
+    if (is_new) endpoint.suspended = suspended_.count(info.id) > 0;
+    return {endpoint, is_new};
+  }
+  void add_sibling(EndpointState& endpoint) { destination_of(endpoint).endpoints.push_back(&endpoint); }
+  void mark_all_removed() {
+    changed_ = true;
+    for (auto& [id, endpoint] : endpoints_) endpoint.info.status = EndpointStatus::removed;
+  }
+  /// Returns whether that changed anything; the endpoint need not be known.
+  bool set_suspended(const EndpointId& id, bool suspended) {
+    const bool changed = suspended ? suspended_.insert(id).second : suspended_.erase(id) > 0;
+    EndpointState* const endpoint = find(id);
+    if (changed && endpoint != nullptr) endpoint->suspended = suspended;
+    return changed;
+  }
+
+  /// Forgets endpoints that left the list, and destinations with their last endpoint.
+  void remove_unused(const RoundContext& round) {
+    if (!std::exchange(changed_, false)) return;
+    const auto is_unused = [&round](const EndpointState& endpoint) {
+      return endpoint.info.status == EndpointStatus::removed && endpoint.calls.empty() &&
+             !endpoint.health.remembers_outage(round) &&
+             endpoint.own_scope.limiter.retry_after_until() <= round.now();
+    };
+    for (auto it = destinations_.begin(); it != destinations_.end();) {
+      DestinationState& destination = it->second;
+      std::erase_if(destination.endpoints,
+                    [&](const EndpointState* endpoint) { return is_unused(*endpoint); });
+      const bool done =
+          destination.endpoints.empty() && destination.scope.limiter.retry_after_until() <= round.now();
+      it = done ? destinations_.erase(it) : std::next(it);
+    }
+    std::erase_if(endpoints_, [&](const auto& entry) { return is_unused(entry.second); });
+    // An endpoint that was moved to another destination is not among its endpoints, and may outlive it.
+    for (auto& [id, endpoint] : endpoints_) endpoint.destination = nullptr;
+  }
+
+  std::map<EndpointId, EndpointState>& endpoints() { return endpoints_; }
+  std::map<DestinationId, DestinationState>& destinations() { return destinations_; }
+  std::size_t suspended_count() const { return suspended_.size(); }
+
+ private:
+  inline static const std::vector<EndpointState*> kNoEndpoints;
+
+  DestinationState& destination_of(EndpointState& endpoint) {
+    if (endpoint.destination == nullptr) endpoint.destination = &destinations_[endpoint.info.destination];
+    return *endpoint.destination;
+  }
+
+  const Settings& settings_;
+  std::map<EndpointId, EndpointState> endpoints_;
+  std::map<DestinationId, DestinationState> destinations_;
+  std::set<EndpointId> suspended_;  // by operators, listed or not
+  bool changed_ = false;            // since remove_unused()
+};
+
+}  // namespace dispatch
--- /dev/null
+++ b/src/health_log.hpp
@@ -0,0 +1,44 @@
+// Log lines on changes of an endpoint's health.
+#pragma once
+
+#include <array>
+#include <string>
+
+#include "dispatch/events.hpp"
+#include "learned_records.hpp"
+#include "round_context.hpp"
+
+namespace dispatch {
+
+enum class HealthChangeCause {
+  // ejected
+  connect_failed,
+  errors,
+  no_answer,
+  all_rejected,
+  sibling_failures,
+  // in slow start or healthy again
+  ejection_expired,
+  probe_succeeded,
+  late_answer,
+  operator_resumed,
+  slow_start_complete
+};
+
+/// The cause that a failed call is for an ejection.
+inline HealthChangeCause cause_of(Outcome outcome) {
+  if (outcome == Outcome::connect_failed) return HealthChangeCause::connect_failed;
+  return outcome == Outcome::error ? HealthChangeCause::errors : HealthChangeCause::no_answer;
+}
+
+inline void log_health_change(RoundContext& round, HealthState state, const EndpointId& id,
+                              HealthChangeCause cause) {
+  static constexpr std::array kEvents = {"endpoint_healthy", "endpoint_ejected", "endpoint_slow_start"};
+  static constexpr std::array kCauses = {
+      "connect_failed",   "errors",          "no_answer",   "all_rejected",     "sibling_failures",
+      "ejection_expired", "probe_succeeded", "late_answer", "operator_resumed", "slow_start_complete"};
+  round.log(kEvents[static_cast<std::size_t>(state)] + std::string(" endpoint=") + id +
+            " cause=" + kCauses[static_cast<std::size_t>(cause)]);
+}
+
+}  // namespace dispatch
--- a/src/learned_state.hpp
+++ b/src/learned_state.hpp
@@ -20,6 +20,12 @@
 inline const std::string kDestinationLine = "destination";  // a destination's rate limit
 inline const std::string kEndpointLine = "endpoint";        // an endpoint
 
+/// Calls `visit` with one field after the other.
+template <class Visitor, class... Fields>
+void visit_fields(Visitor&& visit, Fields&... fields) {
+  (visit(fields), ...);
+}
+
 /// Builds the text line by line.
 class LearnedStateWriter {
  public:
--- a/src/rate_estimator.hpp
+++ b/src/rate_estimator.hpp
@@ -3,6 +3,7 @@
 
 #include <cmath>
 
+#include "learned_state.hpp"
 #include "time_units.hpp"
 
 namespace dispatch {
@@ -32,9 +33,7 @@
   /// Calls `visit` with each field of the learned state, in its stored order.
   template <class Visitor>
   void visit_learned_fields(Visitor&& visit) {
-    visit(weighted_count_);
-    visit(first_);
-    visit(last_);
+    visit_fields(visit, weighted_count_, first_, last_);
   }
 
  private:
--- a/src/records.hpp
+++ b/src/records.hpp
@@ -15,6 +15,12 @@
 
 using CallId = std::uint64_t;  // counts from 1; 0: none
 
+/// What a call finds out: ordinary traffic, the capacity of an endpoint in slow start, or, as a probe
+/// request, whether an ejected one is back.
+enum class CallKind { ordinary, slow_start, probe };
+/// Who met a rejection.
+enum class RejectionSource { own_call, gossip };
+
 /// A call in flight: one request with one or several messages.
 struct Call {
   EndpointState* endpoint = nullptr;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -199,10 +199,10 @@
     other.got.clear();
     spawn(config());  // its known list: s-1 is ready
     wait_for([&] { return !other.got.empty() || !endpoint.got.empty(); }, "a call");
-    if (logged().find("no list yet") == std::string::npos) break;
+    if (logged().find("endpoint_list_cached_in_use") == std::string::npos) break;
     kill_relay();
   }
-  EXPECT_EQ(logged().find("no list yet"), std::string::npos);
+  EXPECT_EQ(logged().find("endpoint_list_cached_in_use"), std::string::npos);
   EXPECT_TRUE(endpoint.got.empty()) << "it went to what was leaving";
   ASSERT_FALSE(other.got.empty());
   EXPECT_EQ(other.got[0].request["X-Request-Id"], "m1");
@@ -214,7 +214,7 @@
   start();
   EXPECT_EQ(hand_in("m1", "load-status"), 202u);
   wait_for([&] { return !endpoint.got.empty(); }, "the call");
-  EXPECT_NE(logged().find("no list yet"), std::string::npos);
+  EXPECT_NE(logged().find("endpoint_list_cached_in_use"), std::string::npos);
   wait_for([&] { return platform.got.size() >= 3; }, "the agent is asked on");
 }
 
