Give the fleet's tests the terms of the field and a setting a line

Cause: the tests set several fields with comma operators under one-letter names and repeated the same set-up and ratios. Change: small_fleet(), large_fleet(), kill_most_relays(), ratio() and used_fraction() in place of the repeated lines; suites HollowFleet and ThinTargets are SimulatedFleet and SmallShares. Each bound is the same number on the same quantity; where a product was compared, the quotient is.

--- a/tests/fleet_scale_test.cpp
+++ b/tests/fleet_scale_test.cpp
@@ -1,129 +1,168 @@
-// The hollow fleet: the same for a seed, and its destinations hold to what they say of themselves.
+// The simulated fleet: equal results for equal seeds, destinations that keep to their settings, and what the
+// dispatchers reach together where each has but a small share of every destination's limit.
 #include <gtest/gtest.h>
 
+#include <cstdint>
+#include <stdexcept>
+
 #include "fleet.hpp"
 
 namespace scale_tool {
 namespace {
 
-FleetSettings small() {
-  FleetSettings s;
-  s.relay_count = 3, s.max_destinations = 20;
-  s.duration = 40, s.warm_up = 10;
-  return s;
-}
-
-TEST(HollowFleet, IsTheSameForASeedAndAnotherForAnother) {
-  FleetSettings s = small();
-  s.faults.unavailable_fraction = 0.05, s.faults.endpoint_replacement_rate = 1,
-  s.faults.killed_relay_fraction = 0.7, s.faults.killed_at = 20;
-  const FleetResult one = run_fleet(s), again = run_fleet(s);
-  EXPECT_EQ(one.digest, again.digest);
-  EXPECT_EQ(one.calls, again.calls);
-  s.seed++;
-  EXPECT_NE(run_fleet(s).digest, one.digest);
-}
-
-TEST(HollowFleet, EndsEachMessageOnce) {
-  FleetSettings s = small();
-  s.workload.load = 1.5, s.faults.unavailable_fraction = 0.05, s.faults.killed_relay_fraction = 0.7,
-  s.faults.killed_at = 20;
-  const FleetResult r = run_fleet(s);
-  EXPECT_GT(r.messages, 1'000);
-  EXPECT_LE(r.delivered + r.failed + r.rejected, r.messages);  // the rest came late
-  EXPECT_GE(r.delivered + r.failed + r.rejected, r.messages * 99 / 100);
-}
-
-// A limit is one: however much is asked for, no more than it is served, and the rest is refused.
-TEST(HollowFleet, ServesNoMoreThanTheLimitsAllow) {
-  FleetSettings s = small();
-  s.workload.load = 3, s.duration = 60;
-  for (const double windows : {0.0, 1.0}) {
-    s.destination.fixed_window_fraction = windows;
-    const FleetResult r = run_fleet(s);
-    EXPECT_GT(r.calls_rejected, 0);
-    EXPECT_LT(static_cast<double>(r.calls_succeeded), 1.05 * r.calls_allowed);
-    EXPECT_GT(static_cast<double>(r.calls_succeeded), 0.7 * r.calls_allowed);
-  }
+FleetSettings small_fleet() {
+  FleetSettings settings;
+  settings.relay_count = 3;
+  settings.max_destinations = 20;
+  settings.duration = 40;
+  settings.warm_up = 10;
+  return settings;
+}
+
+// A relay's share of each rate limit is a call in minutes. A message does not live so long.
+FleetSettings large_fleet() {
+  FleetSettings settings;
+  settings.relay_count = 300;
+  settings.max_destinations = 300;
+  settings.duration = 60;
+  settings.warm_up = 20;
+  return settings;
+}
+
+void kill_most_relays(FleetSettings& settings) {
+  settings.faults.killed_relay_fraction = 0.7;
+  settings.faults.killed_at = 20;
+}
+
+double ratio(std::int64_t part, std::int64_t all) {
+  return static_cast<double>(part) / static_cast<double>(all);
+}
+
+// Of the calls that the rate limits allow.
+double used_fraction(const FleetResult& result) {
+  return static_cast<double>(result.calls_succeeded) / result.calls_allowed;
+}
+
+TEST(SimulatedFleet, IsTheSameForASeedAndAnotherForAnother) {
+  FleetSettings settings = small_fleet();
+  settings.faults.unavailable_fraction = 0.05;
+  settings.faults.endpoint_replacement_rate = 1;
+  kill_most_relays(settings);
+  const FleetResult first = run_fleet(settings);
+  const FleetResult second = run_fleet(settings);
+  EXPECT_EQ(first.digest, second.digest);
+  EXPECT_EQ(first.calls, second.calls);
+  settings.seed++;
+  EXPECT_NE(run_fleet(settings).digest, first.digest);
+}
+
+TEST(SimulatedFleet, EndsEachMessageOnce) {
+  FleetSettings settings = small_fleet();
+  settings.workload.load = 1.5;
+  settings.faults.unavailable_fraction = 0.05;
+  kill_most_relays(settings);
+  const FleetResult result = run_fleet(settings);
+  EXPECT_GT(result.messages, 1'000);
+  const std::int64_t ended = result.delivered + result.failed + result.rejected;
+  EXPECT_LE(ended, result.messages);  // the others were delivered after the deadline
+  EXPECT_GE(ended, result.messages * 99 / 100);
 }
 
-TEST(HollowFleet, TellsMessagesOfSoundDestinationsFromThoseInAnOutage) {
-  FleetSettings s = small();
-  s.faults.unavailable_fraction = 0.1;
-  const FleetResult r = run_fleet(s);
-  EXPECT_LT(r.unaffected_messages, r.messages);
-  EXPECT_GT(r.calls_failed, 0);
-  s.faults.unavailable_fraction = 0;
-  const FleetResult calm = run_fleet(s);
-  EXPECT_EQ(calm.unaffected_messages, calm.messages);
-}
-
-// A cold destination that takes next to nothing falls under what comes; one that is warm at once does not.
-TEST(HollowFleet, PushesAColdDestinationOver) {
-  FleetSettings s = small();
-  s.relay_count = 30, s.faults.unavailable_fraction = 0.1, s.faults.outage_duration = 5,
-  s.destination.slow_start_capacity = 0.01, s.destination.slow_start_duration = 30, s.workload.load = 2;
-  s.destination.overload_multiple = 0.5;
-  EXPECT_GT(run_fleet(s).collapses, 0);
-  s.destination.slow_start_capacity = 1, s.destination.overload_multiple = 4;
-  EXPECT_EQ(run_fleet(s).collapses, 0);
-}
-
-// A relay's share of each limit is a call in minutes here; what a message waits for it, it does not live.
-FleetSettings thin() {
-  FleetSettings s;
-  s.relay_count = 300, s.max_destinations = 300;
-  s.duration = 60, s.warm_up = 20;
-  return s;
-}
-
-TEST(ThinTargets, AreServedUnderTheirLimitsHoweverManyRelaysThereAre) {
-  FleetSettings s = thin();
-  s.workload.relay_skew = 1;
-  const FleetResult r = run_fleet(s);
-  EXPECT_GT(r.delivered, r.messages * 95 / 100);
-}
-
-TEST(ThinTargets, RefuseTheFleetNoMoreThanABoundedShareOfItsCalls) {
-  FleetSettings s = thin();
-  s.workload.load = 1.2;
-  const FleetResult r = run_fleet(s);
-  EXPECT_LT(static_cast<double>(r.calls_rejected), 0.35 * static_cast<double>(r.calls_succeeded));
-  EXPECT_GT(static_cast<double>(r.calls_succeeded), 0.7 * r.calls_allowed);
-}
-
-// The bound is on all of them together: a few that are over their limits hold back few calls to the others.
-TEST(ThinTargets, AreServedBesideAFewThatAreOverTheirLimits) {
-  FleetSettings s = thin();
-  s.workload.hot_fraction = 0.05, s.workload.hot_load = 2;
-  const FleetResult r = run_fleet(s);
-  EXPECT_GT(r.delivered, r.messages * 83 / 100);  // of the 91% that the limits allow
-}
-
-TEST(ThinTargets, ReturnColdWithNoRelayThatKnewPushingThemOver) {
-  FleetSettings s = thin();
-  s.faults.unavailable_fraction = 0.017;
-  for (s.seed = 1; s.seed <= 3; s.seed++) {
-    const FleetResult r = run_fleet(s);
-    EXPECT_EQ(r.collapses_by_notified_relays, 0);
-    EXPECT_GT(r.unaffected_delivered, r.unaffected_messages * 95 / 100);
+// However much is asked for, no more is served than the limit allows, and the rest is rejected.
+TEST(SimulatedFleet, ServesNoMoreThanTheLimitsAllow) {
+  FleetSettings settings = small_fleet();
+  settings.workload.load = 3;
+  settings.duration = 60;
+  for (const double fixed_window_fraction : {0.0, 1.0}) {
+    settings.destination.fixed_window_fraction = fixed_window_fraction;
+    const FleetResult result = run_fleet(settings);
+    EXPECT_GT(result.calls_rejected, 0);
+    EXPECT_LT(used_fraction(result), 1.05);
+    EXPECT_GT(used_fraction(result), 0.7);
   }
 }
 
-// Eight times what is asked otherwise for a while: calls come back within seconds.
-TEST(ThinTargets, RecoverFromAnOverloadThatIsOver) {
-  FleetSettings s = thin();
-  s.relay_count = 100, s.max_destinations = 100;
-  s.workload.burst_load = 4, s.workload.burst_start = 25, s.workload.burst_end = 35, s.warm_up = 45,
-  s.duration = 75;
-  const FleetResult r = run_fleet(s);
-  EXPECT_GT(r.delivered, r.messages * 93 / 100);
+TEST(SimulatedFleet, TellsMessagesThatOutagesAffectFromTheOthers) {
+  FleetSettings settings = small_fleet();
+  settings.faults.unavailable_fraction = 0.1;
+  const FleetResult with_outages = run_fleet(settings);
+  EXPECT_LT(with_outages.unaffected_messages, with_outages.messages);
+  EXPECT_GT(with_outages.calls_failed, 0);
+  settings.faults.unavailable_fraction = 0;
+  const FleetResult without_outages = run_fleet(settings);
+  EXPECT_EQ(without_outages.unaffected_messages, without_outages.messages);
+}
+
+// A destination that starts with next to no capacity collapses under what comes; one that has all of its
+// capacity at once does not.
+TEST(SimulatedFleet, DestinationsCollapseUnderOverloadInSlowStart) {
+  FleetSettings settings = small_fleet();
+  settings.relay_count = 30;
+  settings.workload.load = 2;
+  settings.faults.unavailable_fraction = 0.1;
+  settings.faults.outage_duration = 5;
+  settings.destination.slow_start_duration = 30;
+  settings.destination.slow_start_capacity = 0.01;
+  settings.destination.overload_multiple = 0.5;
+  EXPECT_GT(run_fleet(settings).collapses, 0);
+  settings.destination.slow_start_capacity = 1;
+  settings.destination.overload_multiple = 4;
+  EXPECT_EQ(run_fleet(settings).collapses, 0);
+}
+
+TEST(SimulatedFleet, RejectsSettingsThatMakeNoSense) {
+  FleetSettings settings = small_fleet();
+  settings.warm_up = settings.duration;
+  EXPECT_THROW(static_cast<void>(run_fleet(settings)), std::invalid_argument);
+}
+
+TEST(SmallShares, AreEnoughForDeliveryUnderTheLimitsHoweverManyRelaysThereAre) {
+  FleetSettings settings = large_fleet();
+  settings.workload.relay_skew = 1;
+  const FleetResult result = run_fleet(settings);
+  EXPECT_GT(result.delivered, result.messages * 95 / 100);
+}
+
+TEST(SmallShares, KeepTheRejectedFractionOfCallsBounded) {
+  FleetSettings settings = large_fleet();
+  settings.workload.load = 1.2;
+  const FleetResult result = run_fleet(settings);
+  EXPECT_LT(ratio(result.calls_rejected, result.calls_succeeded), 0.35);
+  EXPECT_GT(used_fraction(result), 0.7);
+}
+
+// The bound is on all calls together: a few destinations that are over their limits hold back few calls to
+// the others.
+TEST(SmallShares, AreUsedBesideAFewDestinationsThatAreOverTheirLimits) {
+  FleetSettings settings = large_fleet();
+  settings.workload.hot_fraction = 0.05;
+  settings.workload.hot_load = 2;
+  const FleetResult result = run_fleet(settings);
+  EXPECT_GT(result.delivered, result.messages * 83 / 100);  // of the 91% that the limits allow
+}
+
+TEST(SmallShares, NotifiedRelaysDoNotMakeADestinationInSlowStartCollapse) {
+  FleetSettings settings = large_fleet();
+  settings.faults.unavailable_fraction = 0.017;
+  for (settings.seed = 1; settings.seed <= 3; settings.seed++) {
+    const FleetResult result = run_fleet(settings);
+    EXPECT_EQ(result.collapses_by_notified_relays, 0);
+    EXPECT_GT(result.unaffected_delivered, result.unaffected_messages * 95 / 100);
+  }
 }
 
-TEST(HollowFleet, RefusesSettingsThatMakeNoSense) {
-  FleetSettings s = small();
-  s.warm_up = s.duration;
-  EXPECT_THROW(static_cast<void>(run_fleet(s)), std::invalid_argument);
+// Eight times the load otherwise asked for, for a while: calls come back within seconds.
+TEST(SmallShares, RecoverFromAnOverloadThatIsOver) {
+  FleetSettings settings = large_fleet();
+  settings.relay_count = 100;
+  settings.max_destinations = 100;
+  settings.workload.burst_load = 4;
+  settings.workload.burst_start = 25;
+  settings.workload.burst_end = 35;
+  settings.warm_up = 45;
+  settings.duration = 75;
+  const FleetResult result = run_fleet(settings);
+  EXPECT_GT(result.delivered, result.messages * 93 / 100);
 }
 
 }  // namespace
