--- a/scale/endpoint_catalogue.hpp
+++ b/scale/endpoint_catalogue.hpp
@@ -1,4 +1,4 @@
-// Discovery's list, in the form in which the relay reads it.
+// The endpoint list of discovery, in the JSON that the relay reads.
 #pragma once
 
 #include <cstdint>
@@ -6,15 +6,23 @@
 
 namespace scale_tool {
 
-// As on the protocol's page, "s-5be2a07c": another one for each number below 2^32, in no order.
-std::string endpoint_name(std::int64_t n);
-// The destination of an endpoint, where so many are listed of each in the mean.
-std::int64_t destination_of(std::int64_t endpoint, double per_destination);
-std::string entry(std::int64_t n, std::int64_t destination, const std::string& address,
-                  const std::string& status = "ready");
-std::string list_of(const std::string& entries, std::int64_t index, bool whole);
-// Whole, all ready, at this address or, where it is empty, at addresses of their own.
-std::string catalogue(std::int64_t endpoints, double per_destination, const std::string& address = "",
-                      std::int64_t index = 41);
+// The version of a list that is given first; the versions of updates count on from it.
+constexpr std::int64_t kFirstListVersion = 41;
+
+enum class ListForm { snapshot, update };
+
+// A name like "s-5be2a07c": another one for each number below 2^32, in no order.
+[[nodiscard]] std::string endpoint_name(std::int64_t number);
+// The destination of an endpoint, where this many endpoints of each are listed in the mean.
+[[nodiscard]] std::int64_t destination_of(std::int64_t endpoint, double endpoints_per_destination);
+// The entry of one endpoint. The status is "ready" or "draining".
+[[nodiscard]] std::string list_entry(std::int64_t endpoint, std::int64_t destination,
+                                     const std::string& address, const std::string& status = "ready");
+// A list of entries that are joined by commas.
+[[nodiscard]] std::string endpoint_list(const std::string& entries, std::int64_t version, ListForm form);
+// A snapshot of so many endpoints, all ready: at this address or, where it is empty, each at one of its own.
+[[nodiscard]] std::string list_snapshot(std::int64_t endpoints, double endpoints_per_destination,
+                                        const std::string& address = "",
+                                        std::int64_t version = kFirstListVersion);
 
 }  // namespace scale_tool
--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -19,6 +19,7 @@
 #include "simulation/statistics.hpp"
 #include "simulation/virtual_time.hpp"
 #include "simulation/workload.hpp"
+#include "units.hpp"
 
 namespace scale_tool {
 namespace simulation {
@@ -165,7 +166,7 @@
 }
 
 FleetResult Fleet::run() {
-  const double cpu_time_before = thread_time();
+  const double cpu_time_before = thread_cpu_time();
   // Beyond the last arrival until all messages have ended.
   const Time end = to_microseconds(settings_.duration + settings_.workload.non_idempotent.deadline + 1);
   const Time progress_interval = to_microseconds(1);
@@ -181,8 +182,8 @@
   FleetResult result = statistics_.result(destinations_, has_restart_);
   result.endpoints = static_cast<std::int64_t>(endpoints_.size());
   result.bytes_per_relay = (allocated().bytes - allocated_before_) / settings_.relay_count;
-  result.cpu_seconds_per_relay =
-      (thread_time() - cpu_time_before) / kMicrosecondsPerSecond / settings_.relay_count / to_seconds(now_);
+  result.cpu_seconds_per_relay = (thread_cpu_time() - cpu_time_before) / kMicrosecondsPerSecond /
+                                 settings_.relay_count / to_seconds(now_);
   return result;
 }
 
--- a/scale/journal_slopes.cpp
+++ b/scale/journal_slopes.cpp
@@ -1,13 +1,16 @@
-// The journal: processor time (the system's part of it, too), room on disk and memory of what is held.
+// The journal: processor time (the kernel's part included), room on disk and memory of held messages.
 #include <algorithm>
 #include <filesystem>
 #include <optional>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 #include "journal.hpp"
 #include "resource_meters.hpp"
+#include "sample_message.hpp"
 #include "slopes.hpp"
-#include "stored.hpp"
+#include "units.hpp"
 
 namespace scale_tool {
 namespace {
@@ -17,117 +20,161 @@
 using message_relay::MessageId;
 using message_relay::Outcome;
 
-constexpr MessageId kCommit = 64;       // messages with one commit, where that is not what is varied
-constexpr std::int64_t kCommits = 100;  // of one size, together one measurement
+constexpr MessageId kMessagesPerCommit = 64;  // where their number is not what is varied
+constexpr std::int64_t kCommits = 100;        // of one size, together one measurement
+constexpr MessageId kDestinations = 190'000;
 
-Message message(MessageId id, std::int64_t body_bytes) {
-  return stored(id, static_cast<std::int64_t>(id % 190'000), body_bytes);
+Message make_message(MessageId id, std::int64_t body_bytes) {
+  return sample_message(id, static_cast<std::int64_t>(id % kDestinations), body_bytes);
 }
 
-double file_bytes(const std::string& folder) {
-  return static_cast<double>(std::filesystem::file_size(folder + "/journal"));
-}
-
-// Costs of one life and the next, each of all messages together.
-class Lives {
+// Measures a journal as one incarnation of the relay writes it and the next recovers it. Each cost is of all
+// messages together.
+class JournalBench {
  public:
-  Lives(std::int64_t messages, std::int64_t body_bytes)
-      : messages_(static_cast<MessageId>(messages)), body_bytes_(body_bytes) {
-    first();
-    second();
-  }
-  Costs costs;
+  JournalBench(std::int64_t messages, std::int64_t body_bytes)
+      : message_count_(static_cast<MessageId>(messages)), body_bytes_(body_bytes) {}
+
+  [[nodiscard]] Costs measure();
 
  private:
-  void first() {
-    const std::int64_t before = allocated().bytes;
-    Journal journal(folder_.path(), kNoLimit);
-    double committed = 0, taken = 0;
-    for (MessageId first = 1; first <= messages_; first += kCommit) {
-      std::vector<Message> batch;
-      for (MessageId id = first; id < end_of(first); id++) batch.push_back(message(id, body_bytes_));
-      taken += time_of([&] {
-        for (auto& m : batch)
-          journal.record_message(first + static_cast<MessageId>(&m - batch.data()), std::move(m));
-      });
-      committed += time_of([&] { journal.commit(); });
-    }
-    costs.emplace_back("taken, us", taken);
-    costs.emplace_back("committed, us", committed);
-    const double alone = file_bytes(folder_.path());
-    costs.emplace_back("on disk, bytes", alone);
-    costs.emplace_back("memory, bytes", static_cast<double>(allocated().bytes - before));
-    costs.emplace_back("sent, us", each(journal, [&](MessageId id) { journal.record_attempt(id, 1, 0); }));
-    costs.emplace_back("outcome, us", each(journal, [&](MessageId id) {
-                         journal.record_outcome(id, 0, Outcome::rejected);
-                       }));
-    costs.emplace_back("an attempt on disk, bytes", file_bytes(folder_.path()) - alone);
-    double all = 0, longest = 0, last = 0;
-    for (bool more = true; more;) {
-      longest = std::max(longest, last);
-      last = time_of([&] { more = journal.compact(); });
-      all += last;
-    }
-    costs.emplace_back("compacted, us", all);
-    costs.emplace_back("compacted, longest step but the last, us", longest);
-    costs.emplace_back("compacted, last step, us", last);
-  }
-  void second() {
-    const std::int64_t before = allocated().bytes;
-    mark_peak();
-    std::optional<Journal> journal;
-    costs.emplace_back("recovered, us", time_of([&] { journal.emplace(folder_.path(), kNoLimit); }));
-    costs.emplace_back("recovered, most memory, bytes", static_cast<double>(peak_bytes() - before));
-    if (journal->messages().size() != messages_) throw std::runtime_error("journal: not all was recovered");
-    costs.emplace_back("over, us", each(*journal, [&](MessageId id) { journal->record_completed(id); }));
-  }
-  MessageId end_of(MessageId first) const { return std::min(first + kCommit, messages_ + 1); }
-  // Without the commits, which cost the same whatever the records are.
+  void write_and_compact();
+  void record_messages(Journal& journal);
+  void record_attempts(Journal& journal);
+  void compact(Journal& journal);
+  void recover();
+
+  // Processor time of the work on each message, without the commits: those cost the same whatever the records
+  // are.
   template <class Work>
-  double each(Journal& journal, Work work) {
-    double time = 0;
-    for (MessageId first = 1; first <= messages_; first += kCommit) {
-      time += time_of([&] {
-        for (MessageId id = first; id < end_of(first); id++) work(id);
-      });
-      journal.commit();
-    }
-    return time;
+  double for_each_message(Journal& journal, Work work) const;
+  // One past the last message of a commit.
+  MessageId end_of_commit(MessageId first) const {
+    return std::min(first + kMessagesPerCommit, message_count_ + 1);
   }
+  double file_bytes() const {
+    return static_cast<double>(std::filesystem::file_size(folder_.path() + "/journal"));
+  }
+  void add(const std::string& name, double value) { costs_.push_back({name, value}); }
 
-  MessageId messages_;
+  MessageId message_count_;
   std::int64_t body_bytes_;
   ScratchFolder folder_;
+  Costs costs_;
 };
 
-// Of one commit, the mean of many.
+Costs JournalBench::measure() {
+  write_and_compact();
+  recover();
+  return costs_;
+}
+
+template <class Work>
+double JournalBench::for_each_message(Journal& journal, Work work) const {
+  double cpu_time = 0;
+  for (MessageId first = 1; first <= message_count_; first += kMessagesPerCommit) {
+    cpu_time += cpu_time_of([&] {
+      for (MessageId id = first; id < end_of_commit(first); id++) work(id);
+    });
+    journal.commit();
+  }
+  return cpu_time;
+}
+
+void JournalBench::write_and_compact() {
+  const std::int64_t bytes_before = allocated().bytes;
+  Journal journal(folder_.path(), kUnlimitedBytes);
+  record_messages(journal);
+  const double file_bytes_of_messages = file_bytes();
+  add("on disk, bytes", file_bytes_of_messages);
+  add("memory, bytes", static_cast<double>(allocated().bytes - bytes_before));
+  record_attempts(journal);
+  add("an attempt on disk, bytes", file_bytes() - file_bytes_of_messages);
+  compact(journal);
+}
+
+void JournalBench::record_messages(Journal& journal) {
+  double record_time = 0;
+  double commit_time = 0;
+  for (MessageId first = 1; first <= message_count_; first += kMessagesPerCommit) {
+    std::vector<Message> batch;
+    for (MessageId id = first; id < end_of_commit(first); id++)
+      batch.push_back(make_message(id, body_bytes_));
+    record_time += cpu_time_of([&] {
+      MessageId id = first;
+      for (Message& message : batch) journal.record_message(id++, std::move(message));
+    });
+    commit_time += cpu_time_of([&] { journal.commit(); });
+  }
+  add("taken, us", record_time);
+  add("committed, us", commit_time);
+}
+
+void JournalBench::record_attempts(Journal& journal) {
+  add("sent, us", for_each_message(journal, [&](MessageId id) { journal.record_attempt(id, 1, 0); }));
+  add("outcome, us",
+      for_each_message(journal, [&](MessageId id) { journal.record_outcome(id, 0, Outcome::rejected); }));
+}
+
+void JournalBench::compact(Journal& journal) {
+  double total = 0;
+  double longest_but_last = 0;
+  double last = 0;
+  for (bool has_more = true; has_more;) {
+    longest_but_last = std::max(longest_but_last, last);
+    last = cpu_time_of([&] { has_more = journal.compact(); });
+    total += last;
+  }
+  add("compacted, us", total);
+  add("compacted, longest step but the last, us", longest_but_last);
+  add("compacted, last step, us", last);
+}
+
+void JournalBench::recover() {
+  const std::int64_t bytes_before = allocated().bytes;
+  reset_peak();
+  std::optional<Journal> journal;
+  add("recovered, us", cpu_time_of([&] { journal.emplace(folder_.path(), kUnlimitedBytes); }));
+  add("recovered, most memory, bytes", static_cast<double>(peak_bytes() - bytes_before));
+  if (journal->messages().size() != message_count_)
+    throw std::runtime_error("journal: not all was recovered");
+  add("over, us", for_each_message(*journal, [&](MessageId id) { journal->record_completed(id); }));
+}
+
+// Processor time of one commit, the mean of many.
 double commit_time(std::int64_t records, std::int64_t body_bytes) {
   const ScratchFolder folder;
-  Journal journal(folder.path(), kNoLimit);
-  double time = 0;
-  MessageId id = 0;
+  Journal journal(folder.path(), kUnlimitedBytes);
+  double cpu_time = 0;
+  MessageId next_id = 1;
   for (std::int64_t i = 0; i < kCommits; i++) {
-    const MessageId first = id + 1;
-    for (std::int64_t k = 0; k < records; k++) id++, journal.record_message(id, message(id, body_bytes));
-    time += time_of([&] { journal.commit(); });
-    for (MessageId over = first; over <= id; over++) journal.record_completed(over);
+    const MessageId first = next_id;
+    const MessageId end = first + static_cast<MessageId>(records);
+    for (; next_id < end; next_id++) journal.record_message(next_id, make_message(next_id, body_bytes));
+    cpu_time += cpu_time_of([&] { journal.commit(); });
+    for (MessageId id = first; id < end; id++) journal.record_completed(id);
     journal.commit();
   }
-  return time / static_cast<double>(kCommits);
+  return cpu_time / static_cast<double>(kCommits);
 }
 
 }  // namespace
 
-void journal_slopes(Slopes& out) {
-  const auto& set = out.set;
-  for (const auto n : set.messages)
-    out.add_medians(kMessages, n, [&] { return Lives(n, set.body_bytes).costs; });
-  out.reach("memory, bytes", kMessages, set.asked_memory_bytes);
-  out.reach("recovered, most memory, bytes", kMessages, set.asked_memory_bytes);
-  out.reach("recovered, us", kMessages, set.asked_restart_s * 1e6);
-  for (const auto n : set.batch)
-    out.add("commit, us", kBatch, n,
-            median_of(set.repetitions, [&] { return commit_time(n, set.body_bytes); }));
+void measure_journal(SlopeRecorder& recorder) {
+  const SlopesSettings& settings = recorder.settings();
+  for (const auto messages : settings.held_messages)
+    recorder.add_medians(SizeKind::held_messages, messages,
+                         [&] { return JournalBench(messages, settings.body_bytes).measure(); });
+  recorder.report_size_reaching(SizeKind::held_messages, "memory, bytes", settings.target_memory_bytes);
+  recorder.report_size_reaching(SizeKind::held_messages, "recovered, most memory, bytes",
+                                settings.target_memory_bytes);
+  recorder.report_size_reaching(SizeKind::held_messages, "recovered, us",
+                                settings.target_restart_seconds * kMicrosecondsPerSecond);
+  for (const auto records : settings.records_per_commit) {
+    const double commit =
+        median_of(settings.repetitions, [&] { return commit_time(records, settings.body_bytes); });
+    recorder.add(SizeKind::records_per_commit, records, {"commit, us", commit});
+  }
 }
 
 }  // namespace scale_tool
--- a/scale/least_squares.cpp
+++ b/scale/least_squares.cpp
@@ -4,31 +4,48 @@
 #include <stdexcept>
 
 namespace scale_tool {
+namespace {
+
+Point mean_of(const std::vector<Point>& points) {
+  const auto count = static_cast<double>(points.size());
+  Point mean;
+  for (const Point& point : points) {
+    mean.size += point.size / count;
+    mean.cost += point.cost / count;
+  }
+  return mean;
+}
+
+// 0 where a size or a cost is not above 0, or the sizes are the same.
+double exponent_between(const Point& a, const Point& b) {
+  const bool has_exponent = a.size > 0 && b.size > a.size && a.cost > 0 && b.cost > 0;
+  return has_exponent ? std::log(b.cost / a.cost) / std::log(b.size / a.size) : 0;
+}
+
+}  // namespace
 
 Line least_squares(const std::vector<Point>& points) {
-  const auto n = static_cast<double>(points.size());
-  double mean_size = 0, mean_cost = 0;
-  for (const auto& p : points) mean_size += p.size / n, mean_cost += p.cost / n;
+  const Point mean = mean_of(points);
   // About the means: sums of squares of large sizes would lose the digits that tell them apart.
-  double sxx = 0, sxy = 0;
-  for (const auto& p : points) {
-    sxx += (p.size - mean_size) * (p.size - mean_size);
-    sxy += (p.size - mean_size) * (p.cost - mean_cost);
+  double size_squares = 0;
+  double size_cost_products = 0;
+  for (const Point& point : points) {
+    size_squares += (point.size - mean.size) * (point.size - mean.size);
+    size_cost_products += (point.size - mean.size) * (point.cost - mean.cost);
   }
-  if (!(sxx > 0)) throw std::invalid_argument("least squares: two different sizes are needed");
+  if (!(size_squares > 0)) throw std::invalid_argument("least squares: two different sizes are needed");
   Line line;
-  line.slope = sxy / sxx;
-  line.intercept = mean_cost - line.slope * mean_size;
-  double squares = 0;
-  for (const auto& p : points) {
-    const double off = p.cost - line.at(p.size);
-    squares += off * off;
-    if (std::abs(off) > kOffLine * std::abs(p.cost)) line.off_line_at.push_back(p.size);
+  line.slope = size_cost_products / size_squares;
+  line.intercept = mean.cost - line.slope * mean.size;
+  double deviation_squares = 0;
+  for (const Point& point : points) {
+    const double deviation = point.cost - line.at(point.size);
+    deviation_squares += deviation * deviation;
+    if (std::abs(deviation) > kOffLineFraction * std::abs(point.cost)) line.off_line_at.push_back(point.size);
   }
-  if (mean_cost != 0) line.residual = std::sqrt(squares / n) / std::abs(mean_cost);
-  const Point &a = points[points.size() - 2], &b = points.back();
-  if (a.size > 0 && b.size > a.size && a.cost > 0 && b.cost > 0)
-    line.exponent = std::log(b.cost / a.cost) / std::log(b.size / a.size);
+  if (mean.cost != 0)
+    line.residual = std::sqrt(deviation_squares / static_cast<double>(points.size())) / std::abs(mean.cost);
+  line.exponent = exponent_between(points[points.size() - 2], points.back());
   return line;
 }
 
--- a/scale/list_slopes.cpp
+++ b/scale/list_slopes.cpp
@@ -1,8 +1,7 @@
-// Reading discovery's list: the stream of values, the parser, the endpoints; and the longest list that is
-// read.
+// Reading the endpoint list of discovery: the splitter of the stream, the JSON parser, the endpoints; and the
+// longest list that is read.
 #include <rapidjson/document.h>
 
-#include <algorithm>
 #include <optional>
 #include <stdexcept>
 
@@ -15,59 +14,54 @@
 namespace scale_tool {
 namespace {
 
-constexpr std::size_t kPiece = 64 * 1024;  // bytes that one read of the socket brings at most
+constexpr std::size_t kMaxReadBytes = 64 * 1024;  // that one read of the socket brings
 
-std::string streamed(const std::string& list) {
+// The list as it comes out of a stream. Throws std::runtime_error where it does not.
+std::string split_from_stream(const std::string& list) {
   message_relay::JsonStreamSplitter stream;
   std::optional<std::string> value;
-  for (std::size_t at = 0; at < list.size(); at += kPiece) {
-    stream.append(list.substr(at, kPiece));
+  for (std::size_t offset = 0; offset < list.size(); offset += kMaxReadBytes) {
+    stream.append(list.substr(offset, kMaxReadBytes));
     value = stream.next();
   }
   if (!value) throw std::runtime_error("list: no whole value was found");
   return *value;
 }
 
-struct Reading {
-  double parse = 0, read = 0;                // us
-  std::int64_t parsed_bytes = 0, bytes = 0;  // the parser's memory while it reads; what is kept of it
-};
-
-Reading read(const std::string& list, const configuration::SettingNames& names) {
-  Reading reading;
-  rapidjson::Document v;
-  reading.parse = time_of([&] { v.Parse<rapidjson::kParseIterativeFlag>(list.data(), list.size()); });
-  reading.parsed_bytes = static_cast<std::int64_t>(v.GetAllocator().Capacity());
-  const std::int64_t before = allocated().bytes;
-  message_relay::EndpointList members;
-  reading.read = time_of([&] { members = message_relay::read_endpoint_list(v, "members", names); });
-  reading.bytes = allocated().bytes - before;
-  return reading;
+Costs read_costs(const std::string& list, const configuration::SettingNames& names) {
+  rapidjson::Document document;
+  const double parse_time =
+      cpu_time_of([&] { document.Parse<rapidjson::kParseIterativeFlag>(list.data(), list.size()); });
+  const auto parser_bytes = static_cast<double>(document.GetAllocator().Capacity());
+  const std::int64_t bytes_before = allocated().bytes;
+  message_relay::EndpointList endpoints;
+  const double read_time =
+      cpu_time_of([&] { endpoints = message_relay::read_endpoint_list(document, "members", names); });
+  const auto endpoint_bytes = static_cast<double>(allocated().bytes - bytes_before);
+  return {{"parsed, us", parse_time},
+          {"read, us", read_time},
+          {"the parser's memory, bytes", parser_bytes},
+          {"members, bytes", endpoint_bytes}};
 }
 
 }  // namespace
 
-void list_slopes(Slopes& out) {
-  const auto& set = out.set;
+void measure_endpoint_list(SlopeRecorder& recorder) {
+  const SlopesSettings& settings = recorder.settings();
   configuration::SettingNames names;
-  names.zones.emplace("a", 0), names.kinds.emplace("small", 0);
-  for (const auto n : set.endpoints) {
-    const std::string list = catalogue(n, set.endpoints_per_destination);
-    out.add("whole list, bytes", kEndpoints, n, static_cast<double>(list.size()));
-    out.add("streamed, us", kEndpoints, n,
-            median_of(set.repetitions, [&] { return time_of([&] { streamed(list); }); }));
-    std::vector<double> parse, read_times;
-    Reading last;
-    for (std::int64_t i = 0; i < set.repetitions; i++) {
-      last = read(list, names);
-      parse.push_back(last.parse), read_times.push_back(last.read);
-    }
-    out.add("parsed, us", kEndpoints, n, median(parse));
-    out.add("read, us", kEndpoints, n, median(read_times));
-    out.add("the parser's memory, bytes", kEndpoints, n, static_cast<double>(last.parsed_bytes));
-    out.add("members, bytes", kEndpoints, n, static_cast<double>(last.bytes));
+  names.zones.emplace("a", 0);
+  names.kinds.emplace("small", 0);
+  for (const auto count : settings.listed_endpoints) {
+    const std::string list = list_snapshot(count, settings.endpoints_per_destination);
+    recorder.add(SizeKind::listed_endpoints, count, {"whole list, bytes", static_cast<double>(list.size())});
+    const double split_time = median_of(settings.repetitions, [&] {
+      return cpu_time_of([&] { static_cast<void>(split_from_stream(list)); });
+    });
+    recorder.add(SizeKind::listed_endpoints, count, {"streamed, us", split_time});
+    recorder.add_medians(SizeKind::listed_endpoints, count, [&] { return read_costs(list, names); });
   }
-  out.reach("whole list, bytes", kEndpoints, static_cast<double>(set.list_limit_bytes));
+  recorder.report_size_reaching(SizeKind::listed_endpoints, "whole list, bytes",
+                                static_cast<double>(settings.max_list_bytes));
 }
 
 }  // namespace scale_tool
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -1,4 +1,4 @@
-// scale_tool: what the module and the relay cost, and how a fleet of them fares, against size.
+// scale_tool: what the dispatcher and the relay cost against size, and how a fleet of them fares.
 #include <CLI/CLI.hpp>
 #include <exception>
 #include <iostream>
@@ -6,23 +6,32 @@
 #include "commands.hpp"
 #include "experiment.hpp"
 
+namespace {
+
+// Exit statuses beside 0.
+constexpr int kFailure = 1;
+constexpr int kBadInput = 2;
+
+int report_error(const std::exception& error, int exit_status) {
+  std::cerr << "scale_tool: " << error.what() << '\n';
+  return exit_status;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
-  namespace scale = scale_tool;
-  constexpr int kBadInput = 2;
   CLI::App app{"Scale tests of the relay and its decision module", "scale_tool"};
   app.require_subcommand(1);
-  scale::add_fleet(app);
-  scale::add_slopes(app);
+  scale_tool::add_fleet(app);
+  scale_tool::add_slopes(app);
   try {
     app.parse(argc, argv);
     return 0;
-  } catch (const CLI::ParseError& e) {
-    return app.exit(e) == 0 ? 0 : kBadInput;
-  } catch (const scale::BadInput& e) {
-    std::cerr << "scale_tool: " << e.what() << '\n';
-    return kBadInput;
-  } catch (const std::exception& e) {
-    std::cerr << "scale_tool: " << e.what() << '\n';
-    return 1;
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kBadInput;
+  } catch (const scale_tool::BadInput& error) {
+    return report_error(error, kBadInput);
+  } catch (const std::exception& error) {
+    return report_error(error, kFailure);
   }
 }
--- a/scale/module_slopes.cpp
+++ b/scale/module_slopes.cpp
@@ -1,6 +1,11 @@
-// The decision module through its public interface: the processor time of a round, and its memory.
+// The dispatcher through its public interface: the processor time of a round, and its memory.
 #include <algorithm>
+#include <cstddef>
 #include <map>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "dispatch/dispatcher.hpp"
 #include "endpoint_catalogue.hpp"
@@ -10,198 +15,266 @@
 namespace scale_tool {
 namespace {
 
-using namespace dispatch;
-
-constexpr Time kMs = 1'000, kS = 1'000'000;
-constexpr Time kTick = 5 * kMs;
-constexpr int kSlots = 64;  // calls out at once, where their number is not what is varied
-
-// Deadlines are far off: what is held stays held.
-Settings settings(int slots) {
-  Settings s;
-  s.classes = {{.priority_weight = 1,
-                .late_weight_fraction = 0.3,
-                .latency_objective = 2 * kS,
-                .deadline = 3600 * kS}};
-  s.kinds = {{}};
-  s.max_calls_in_flight = slots;
-  s.max_open_messages = 1'000'000'000;
-  s.max_attempts = 1000;
-  s.min_round_interval = kMs;
-  return s;
-}
-
-std::vector<Endpoint> endpoints(std::int64_t count, double per_destination) {
-  std::vector<Endpoint> all(static_cast<std::size_t>(count));
-  for (std::int64_t i = 0; i < count; i++) {
-    Endpoint& e = all[static_cast<std::size_t>(i)];
-    e.id = endpoint_name(i), e.destination = destination_of(i, per_destination);
-  }
-  return all;
+using dispatch::DestinationId;
+using dispatch::Endpoint;
+using dispatch::Event;
+using dispatch::MessageId;
+using dispatch::Outcome;
+using dispatch::Time;
+
+constexpr Time kMillisecond = 1'000;
+constexpr Time kSecond = 1'000'000;
+constexpr Time kIdleInterval = 5 * kMillisecond;
+constexpr Time kRetryAfter = 1800 * kSecond;  // nothing is sent before it is over
+constexpr int kMaxCallsInFlight = 64;         // where their number is not what is varied
+constexpr std::int64_t kMinRounds = 5;        // at least so many make a median
+constexpr std::int64_t kDeliveredMessages = 2000;
+constexpr std::int64_t kStride = 7919;  // a prime, to visit a list out of its order
+
+// Deadlines are so far off that held messages stay held.
+dispatch::Settings dispatcher_settings(int max_calls_in_flight) {
+  dispatch::Settings settings;
+  settings.classes = {{.priority_weight = 1,
+                       .late_weight_fraction = 0.3,
+                       .latency_objective = 2 * kSecond,
+                       .deadline = 3600 * kSecond}};
+  settings.kinds = {{}};
+  settings.max_calls_in_flight = max_calls_in_flight;
+  settings.max_open_messages = 1'000'000'000;
+  settings.max_attempts = 1000;
+  settings.min_round_interval = kMillisecond;
+  return settings;
+}
+
+std::vector<Endpoint> make_endpoints(std::int64_t count, double per_destination) {
+  std::vector<Endpoint> endpoints;
+  endpoints.reserve(static_cast<std::size_t>(count));
+  for (std::int64_t i = 0; i < count; i++)
+    endpoints.push_back({.id = endpoint_name(i), .destination = destination_of(i, per_destination)});
+  return endpoints;
 }
 
-// One dispatcher and its clock; knows the calls that the last round began.
-class Load {
+// A dispatcher, its clock and its calls. All functions that run rounds return microseconds of processor time,
+// where they return a double.
+// Invariant: `sends_` are the calls that the last round began.
+class DispatcherBench {
  public:
-  explicit Load(int slots = kSlots) : settings_(settings(slots)), dispatcher_(settings_, 1) {}
-
-  double round(const std::vector<Event>& events, Time later = kMs) {
-    now_ += later;
-    actions_.clear();
-    const double time = time_of([&] { dispatcher_.handle(now_, events, actions_); });
-    sends_.clear();
-    for (const auto& a : actions_)
-      if (const auto* send = std::get_if<action::Send>(&a)) sends_.push_back(*send);
-    return time;
-  }
-  double idle_round() { return round({event::TimerExpired{0}}, kTick); }
-  double list(std::vector<Endpoint> all) {
-    return round({event::EndpointListSnapshot{std::move(all), false}});
-  }
+  explicit DispatcherBench(int max_calls_in_flight = kMaxCallsInFlight)
+      : settings_(dispatcher_settings(max_calls_in_flight)), dispatcher_(settings_, 1) {}
 
-  // What ends the calls that the last round began.
-  std::vector<Event> ends(Outcome outcome, Time told_wait = 0) {
-    std::vector<Event> events;
-    for (const auto& send : sends_) {
-      event::AttemptEnded e;
-      e.id = send.id, e.attempt = attempts_[send.id]++, e.endpoint = send.endpoint;
-      e.outcome = outcome, e.latency = kMs, e.message_settled = outcome == Outcome::succeeded,
-      e.retry_after = told_wait;
-      events.emplace_back(std::move(e));
-    }
-    return events;
-  }
-  event::Arrival arrival(DestinationId destination) {
-    event::Arrival a;
-    a.id = ++last_, a.destination = destination, a.time_to_deadline = settings_.classes[0].deadline;
-    return a;
-  }
-  // One message to each destination in [from, from + count), at most kSlots at once: their calls end so.
-  void call_each(DestinationId from, std::int64_t count, Outcome outcome, Time told_wait = 0) {
-    for (std::int64_t i = 0; i < count; i += kSlots) {
-      std::vector<Event> events;
-      const MessageId first = last_ + 1;
-      for (std::int64_t k = i; k < std::min(count, i + kSlots); k++) events.emplace_back(arrival(from + k));
-      round(events);
-      events = ends(outcome, told_wait);
-      for (MessageId id = first; id <= last_; id++) events.emplace_back(event::ClientCancelled{id});
-      round(events);
-    }
-    attempts_.clear();
-  }
-  // Lists so many endpoints of a destination each, and fails calls until all of them are closed.
-  void down(std::int64_t count) {
-    list(endpoints(count, 1));
-    while (dispatcher_.ejected_endpoint_count() < static_cast<std::size_t>(count))
-      call_each(0, count, Outcome::connect_failed);
-  }
-  void told_to_wait(std::int64_t count) {
-    list(endpoints(count, 1));
-    call_each(0, count, Outcome::rejected, 1800 * kS);
-  }
-  // Taken on in one round; returns the bytes that are kept for them.
-  std::int64_t hold(std::int64_t messages, std::int64_t destinations) {
-    const std::int64_t before = allocated().bytes;
-    {
-      std::vector<Event> events;
-      for (std::int64_t i = 0; i < messages; i++) events.emplace_back(arrival(i % destinations));
-      round(events);
-      actions_ = std::vector<Action>();
-    }
-    return allocated().bytes - before;
-  }
-  Dispatcher& dispatcher() { return dispatcher_; }
-  std::size_t begun() const { return sends_.size(); }
+  double run_round(const std::vector<Event>& events, Time interval = kMillisecond);
+  double run_idle_round() { return run_round({dispatch::event::TimerExpired{0}}, kIdleInterval); }
+  double set_list(std::vector<Endpoint> endpoints);
+  // The calls that the last round began end so.
+  [[nodiscard]] std::vector<Event> end_calls(Outcome outcome, Time retry_after = 0);
+  [[nodiscard]] dispatch::event::Arrival new_message(DestinationId destination);
+
+  // Lists so many destinations of an endpoint each, and fails calls until all of the endpoints are ejected.
+  void make_unavailable(std::int64_t destinations);
+  // Lists so many destinations of an endpoint each, and rejects a call to each for a long time.
+  void reject_calls_to(std::int64_t destinations);
+  // Takes on messages in one round, spread over the destinations. Returns the bytes that are kept for them.
+  [[nodiscard]] std::int64_t accept_messages(std::int64_t messages, std::int64_t destinations);
+
+  [[nodiscard]] std::string learned_state() const { return dispatcher_.learned_state(); }
 
  private:
-  Settings settings_;
-  Dispatcher dispatcher_;
-  Time now_ = kS;
-  std::vector<Action> actions_;
-  std::vector<action::Send> sends_;
-  std::map<MessageId, int> attempts_;
-  MessageId last_ = 0;
+  void call_each(std::int64_t destinations, Outcome outcome, Time retry_after = 0);
+
+  dispatch::Settings settings_;
+  dispatch::Dispatcher dispatcher_;
+  Time now_ = kSecond;
+  std::vector<dispatch::Action> actions_;
+  std::vector<dispatch::action::Send> sends_;
+  std::map<MessageId, int> next_attempt_;
+  MessageId last_message_ = 0;
 };
 
-// Rounds in which trial calls fail at once, as they do while destinations are down.
-double round_while_down(Load& load, std::int64_t repetitions) {
-  return median_of(repetitions, [&] {
-    auto events = load.ends(Outcome::connect_failed);
-    events.emplace_back(event::TimerExpired{0});
-    return load.round(events, kTick);
-  });
+double DispatcherBench::run_round(const std::vector<Event>& events, Time interval) {
+  now_ += interval;
+  actions_.clear();
+  const double cpu_time = cpu_time_of([&] { dispatcher_.handle(now_, events, actions_); });
+  sends_.clear();
+  for (const auto& action : actions_)
+    if (const auto* send = std::get_if<dispatch::action::Send>(&action)) sends_.push_back(*send);
+  return cpu_time;
 }
 
-constexpr int kMostRounds = 5;  // at least so many make a median
+double DispatcherBench::set_list(std::vector<Endpoint> endpoints) {
+  return run_round({dispatch::event::EndpointListSnapshot{.endpoints = std::move(endpoints)}});
+}
 
-}  // namespace
+std::vector<Event> DispatcherBench::end_calls(Outcome outcome, Time retry_after) {
+  std::vector<Event> events;
+  for (const auto& send : sends_) {
+    dispatch::event::AttemptEnded event;
+    event.id = send.id;
+    event.attempt = next_attempt_[send.id]++;
+    event.endpoint = send.endpoint;
+    event.outcome = outcome;
+    event.latency = kMillisecond;
+    event.message_settled = outcome == Outcome::succeeded;
+    event.retry_after = retry_after;
+    events.emplace_back(std::move(event));
+  }
+  return events;
+}
 
-void module_slopes(Slopes& out) {
-  const auto& set = out.set;
-  const std::int64_t rounds = std::max<std::int64_t>(set.repetitions, kMostRounds);
+dispatch::event::Arrival DispatcherBench::new_message(DestinationId destination) {
+  dispatch::event::Arrival arrival;
+  arrival.id = ++last_message_;
+  arrival.destination = destination;
+  arrival.time_to_deadline = settings_.classes.front().deadline;
+  return arrival;
+}
 
-  for (const auto n : set.messages) {
-    Load load;
-    load.told_to_wait(set.down);
-    const std::int64_t bytes = load.hold(n, set.down);
-    out.add("round, told to wait, us", kMessages, n, median_of(rounds, [&] { return load.idle_round(); }));
-    out.add("memory, bytes", kMessages, n, static_cast<double>(bytes));
-  }
-  for (const auto n : set.messages) {
-    Load load;
-    load.down(set.down);
-    load.hold(n, set.down);
-    out.add("round, destinations down, us", kMessages, n, round_while_down(load, rounds));
-  }
-  for (const auto n : set.destinations_down) {
-    Load load;
-    load.down(n);
-    load.hold(set.messages.front(), n);
-    out.add("round, " + std::to_string(set.messages.front()) + " held, us", kDestinationsDown, n,
-            round_while_down(load, rounds));
-  }
-  for (const auto n : set.calls_out) {
-    Load load(static_cast<int>(2 * n));
-    load.list(endpoints(n, 1));
-    load.hold(n, n);
-    out.add("round, us", kCallsOut, n, median_of(rounds, [&] { return load.idle_round(); }));
+// A message to each destination, as many at once as there may be calls in flight; then it is cancelled.
+void DispatcherBench::call_each(std::int64_t destinations, Outcome outcome, Time retry_after) {
+  for (std::int64_t begin = 0; begin < destinations; begin += kMaxCallsInFlight) {
+    const MessageId first_message = last_message_ + 1;
+    const std::int64_t end = std::min(destinations, begin + kMaxCallsInFlight);
+    std::vector<Event> events;
+    for (std::int64_t i = begin; i < end; i++) events.emplace_back(new_message(i));
+    run_round(events);
+    events = end_calls(outcome, retry_after);
+    for (MessageId id = first_message; id <= last_message_; id++)
+      events.emplace_back(dispatch::event::ClientCancelled{id});
+    run_round(events);
   }
-  for (const auto n : set.endpoints) {
-    const auto list = endpoints(n, set.endpoints_per_destination);
-    out.add("whole list, first, us", kEndpoints, n,
-            median_of(set.repetitions, [&] { return Load().list(list); }));
-    Load load;
-    const std::int64_t before = allocated().bytes;
-    load.list(list);
-    out.add("memory, bytes", kEndpoints, n, static_cast<double>(allocated().bytes - before));
-    out.add("whole list, again, us", kEndpoints, n,
-            median_of(set.repetitions, [&] { return load.list(list); }));
-    std::size_t changed = 0;
-    out.add("one change, us", kEndpoints, n, median_of(rounds, [&] {
-              return load.round({event::EndpointListUpdate{{list[changed++ * 7919 % list.size()]}}});
-            }));
-    out.add("idle round, us", kEndpoints, n, median_of(rounds, [&] { return load.idle_round(); }));
-    constexpr std::int64_t kDelivered = 2000;
-    out.add("message delivered, us", kEndpoints, n, median_of(rounds, [&] {
-              double time = 0;
-              for (std::int64_t i = 0; i < kDelivered; i++) {
-                time += load.round({load.arrival(list[static_cast<std::size_t>(i * 7919 % n)].destination)});
-                time += load.round(load.ends(Outcome::succeeded));
-              }
-              return time / kDelivered;
-            }));
-    out.add("learnt, written, us", kEndpoints, n,
-            median_of(set.repetitions, [&] { return time_of([&] { load.dispatcher().learned_state(); }); }));
+  next_attempt_.clear();
+}
+
+void DispatcherBench::make_unavailable(std::int64_t destinations) {
+  set_list(make_endpoints(destinations, 1));
+  while (dispatcher_.ejected_endpoint_count() < static_cast<std::size_t>(destinations))
+    call_each(destinations, Outcome::connect_failed);
+}
+
+void DispatcherBench::reject_calls_to(std::int64_t destinations) {
+  set_list(make_endpoints(destinations, 1));
+  call_each(destinations, Outcome::rejected, kRetryAfter);
+}
+
+std::int64_t DispatcherBench::accept_messages(std::int64_t messages, std::int64_t destinations) {
+  const std::int64_t bytes_before = allocated().bytes;
+  {
+    std::vector<Event> events;
+    for (std::int64_t i = 0; i < messages; i++) events.emplace_back(new_message(i % destinations));
+    run_round(events);
+    actions_ = std::vector<dispatch::Action>();
   }
-  out.reach("memory, bytes", kEndpoints, set.asked_memory_bytes);
-  out.reach("memory, bytes", kMessages, set.asked_memory_bytes);
-  for (const auto n : set.recalled) {
-    Load load;
-    load.list(endpoints(n, 1));
-    const event::LearnedStateRestored recalled{load.dispatcher().learned_state()};
-    out.add("learnt, taken back, us", kRecalled, n,
-            median_of(set.repetitions, [&] { return load.round({recalled}); }));
+  return allocated().bytes - bytes_before;
+}
+
+// Rounds in which health checks fail at once, as they do while destinations are down.
+double median_round_in_outage(DispatcherBench& bench, std::int64_t rounds) {
+  return median_of(rounds, [&] {
+    auto events = bench.end_calls(Outcome::connect_failed);
+    events.emplace_back(dispatch::event::TimerExpired{0});
+    return bench.run_round(events, kIdleInterval);
+  });
+}
+
+std::int64_t round_count(const SlopesSettings& settings) {
+  return std::max(settings.repetitions, kMinRounds);
+}
+
+void measure_held_messages(SlopeRecorder& recorder, std::int64_t messages) {
+  const SlopesSettings& settings = recorder.settings();
+  DispatcherBench bench;
+  bench.reject_calls_to(settings.destinations_of_messages);
+  const std::int64_t bytes = bench.accept_messages(messages, settings.destinations_of_messages);
+  const double round = median_of(round_count(settings), [&] { return bench.run_idle_round(); });
+  recorder.add(SizeKind::held_messages, messages, {"round, told to wait, us", round});
+  recorder.add(SizeKind::held_messages, messages, {"memory, bytes", static_cast<double>(bytes)});
+}
+
+void measure_held_messages_in_outage(SlopeRecorder& recorder, std::int64_t messages) {
+  const SlopesSettings& settings = recorder.settings();
+  DispatcherBench bench;
+  bench.make_unavailable(settings.destinations_of_messages);
+  static_cast<void>(bench.accept_messages(messages, settings.destinations_of_messages));
+  const double round = median_round_in_outage(bench, round_count(settings));
+  recorder.add(SizeKind::held_messages, messages, {"round, destinations down, us", round});
+}
+
+void measure_unavailable_destinations(SlopeRecorder& recorder, std::int64_t destinations) {
+  const std::int64_t messages = recorder.settings().held_messages.front();
+  DispatcherBench bench;
+  bench.make_unavailable(destinations);
+  static_cast<void>(bench.accept_messages(messages, destinations));
+  const double round = median_round_in_outage(bench, round_count(recorder.settings()));
+  recorder.add(SizeKind::unavailable_destinations, destinations,
+               {"round, " + std::to_string(messages) + " held, us", round});
+}
+
+void measure_calls_in_flight(SlopeRecorder& recorder, std::int64_t calls) {
+  DispatcherBench bench(static_cast<int>(2 * calls));
+  bench.set_list(make_endpoints(calls, 1));
+  static_cast<void>(bench.accept_messages(calls, calls));
+  const double round = median_of(round_count(recorder.settings()), [&] { return bench.run_idle_round(); });
+  recorder.add(SizeKind::calls_in_flight, calls, {"round, us", round});
+}
+
+// Processor time of one message from its arrival to its delivery.
+double delivery_time(DispatcherBench& bench, const std::vector<Endpoint>& endpoints) {
+  double cpu_time = 0;
+  for (std::int64_t i = 0; i < kDeliveredMessages; i++) {
+    const Endpoint& endpoint = endpoints[static_cast<std::size_t>(i * kStride) % endpoints.size()];
+    cpu_time += bench.run_round({bench.new_message(endpoint.destination)});
+    cpu_time += bench.run_round(bench.end_calls(Outcome::succeeded));
   }
+  return cpu_time / kDeliveredMessages;
+}
+
+void measure_listed_endpoints(SlopeRecorder& recorder, std::int64_t count) {
+  const SlopesSettings& settings = recorder.settings();
+  const std::int64_t rounds = round_count(settings);
+  const auto endpoints = make_endpoints(count, settings.endpoints_per_destination);
+  const auto add = [&](const std::string& name, double value) {
+    recorder.add(SizeKind::listed_endpoints, count, {name, value});
+  };
+  add("whole list, first, us",
+      median_of(settings.repetitions, [&] { return DispatcherBench().set_list(endpoints); }));
+  DispatcherBench bench;
+  const std::int64_t bytes_before = allocated().bytes;
+  bench.set_list(endpoints);
+  add("memory, bytes", static_cast<double>(allocated().bytes - bytes_before));
+  add("whole list, again, us", median_of(settings.repetitions, [&] { return bench.set_list(endpoints); }));
+  std::size_t changes = 0;
+  add("one change, us", median_of(rounds, [&] {
+        const Endpoint& changed = endpoints[changes * kStride % endpoints.size()];
+        changes++;
+        return bench.run_round({dispatch::event::EndpointListUpdate{{changed}}});
+      }));
+  add("idle round, us", median_of(rounds, [&] { return bench.run_idle_round(); }));
+  add("message delivered, us", median_of(rounds, [&] { return delivery_time(bench, endpoints); }));
+  add("learnt, written, us", median_of(settings.repetitions, [&] {
+        return cpu_time_of([&] { static_cast<void>(bench.learned_state()); });
+      }));
+}
+
+void measure_learned_destinations(SlopeRecorder& recorder, std::int64_t destinations) {
+  DispatcherBench bench;
+  bench.set_list(make_endpoints(destinations, 1));
+  const dispatch::event::LearnedStateRestored restored{bench.learned_state()};
+  const double round =
+      median_of(recorder.settings().repetitions, [&] { return bench.run_round({restored}); });
+  recorder.add(SizeKind::learned_destinations, destinations, {"learnt, taken back, us", round});
+}
+
+}  // namespace
+
+void measure_module(SlopeRecorder& recorder) {
+  const SlopesSettings& settings = recorder.settings();
+  for (const auto size : settings.held_messages) measure_held_messages(recorder, size);
+  for (const auto size : settings.held_messages) measure_held_messages_in_outage(recorder, size);
+  for (const auto size : settings.unavailable_destinations) measure_unavailable_destinations(recorder, size);
+  for (const auto size : settings.calls_in_flight) measure_calls_in_flight(recorder, size);
+  for (const auto size : settings.listed_endpoints) measure_listed_endpoints(recorder, size);
+  recorder.report_size_reaching(SizeKind::listed_endpoints, "memory, bytes", settings.target_memory_bytes);
+  recorder.report_size_reaching(SizeKind::held_messages, "memory, bytes", settings.target_memory_bytes);
+  for (const auto size : settings.learned_destinations) measure_learned_destinations(recorder, size);
 }
 
 }  // namespace scale_tool
--- a/scale/report.cpp
+++ b/scale/report.cpp
@@ -14,17 +14,62 @@
 namespace scale_tool {
 namespace {
 
-std::string text_of(const Value& value) {
-  if (const auto* whole = std::get_if<std::int64_t>(&value)) return std::to_string(*whole);
+constexpr int kTableDigits = 4;
+
+std::string to_text(const Value& value) {
+  if (const auto* integer = std::get_if<std::int64_t>(&value)) return std::to_string(*integer);
   if (const auto* text = std::get_if<std::string>(&value)) return *text;
   std::ostringstream out;
-  out << std::setprecision(4) << std::get<double>(value);
+  out << std::setprecision(kTableDigits) << std::get<double>(value);
   return out.str();
 }
 
-bool same_columns(const Row& a, const Row& b) {
+std::string to_json_line(const Row& row) {
+  rapidjson::StringBuffer buffer;
+  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+  writer.StartObject();
+  for (const Cell& cell : row) {
+    writer.Key(cell.column.c_str());
+    if (const auto* integer = std::get_if<std::int64_t>(&cell.value))
+      writer.Int64(*integer);
+    else if (const auto* number = std::get_if<double>(&cell.value))
+      writer.Double(*number);
+    else
+      writer.String(std::get<std::string>(cell.value).c_str());
+  }
+  writer.EndObject();
+  return buffer.GetString();
+}
+
+bool has_same_columns(const Row& a, const Row& b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
-                    [](const auto& x, const auto& y) { return x.first == y.first; });
+                    [](const Cell& x, const Cell& y) { return x.column == y.column; });
+}
+
+using TextLine = std::vector<std::string>;
+
+// The column names, then the values of the rows.
+std::vector<TextLine> text_lines(const Row* first, const Row* last) {
+  std::vector<TextLine> lines(1);
+  for (const Cell& cell : *first) lines.front().push_back(cell.column);
+  for (const Row* row = first; row != last; row++) {
+    TextLine& line = lines.emplace_back();
+    for (const Cell& cell : *row) line.push_back(to_text(cell.value));
+  }
+  return lines;
+}
+
+// Rows of the same columns.
+void write_table(std::ostream& out, const Row* first, const Row* last) {
+  const std::vector<TextLine> lines = text_lines(first, last);
+  std::vector<std::size_t> widths(first->size());
+  for (const TextLine& line : lines)
+    for (std::size_t i = 0; i < widths.size(); i++) widths[i] = std::max(widths[i], line[i].size());
+  for (const TextLine& line : lines) {
+    for (std::size_t i = 0; i < widths.size(); i++)
+      out << (i > 0 ? "  " : "") << std::setw(static_cast<int>(widths[i])) << line[i];
+    out << '\n';
+  }
 }
 
 }  // namespace
@@ -36,49 +81,23 @@
 }
 
 void Report::add(Row row) {
-  if (json_.is_open()) json_ << json_line(row) << std::endl;
+  if (json_.is_open()) json_ << to_json_line(row) << std::endl;
   rows_.push_back(std::move(row));
 }
 
 std::string Report::table() const {
   std::ostringstream out;
-  for (std::size_t first = 0, last = 0; first < rows_.size(); first = last) {
-    while (last < rows_.size() && same_columns(rows_[first], rows_[last])) last++;
-    std::vector<std::size_t> width;
-    for (const auto& [name, value] : rows_[first]) width.push_back(name.size());
-    for (auto i = first; i < last; i++)
-      for (std::size_t c = 0; c < width.size(); c++)
-        width[c] = std::max(width[c], text_of(rows_[i][c].second).size());
-    if (first > 0) out << '\n';
-    for (std::size_t c = 0; c < width.size(); c++)
-      out << (c > 0 ? "  " : "") << std::setw(static_cast<int>(width[c])) << rows_[first][c].first;
-    out << '\n';
-    for (auto i = first; i < last; i++) {
-      for (std::size_t c = 0; c < width.size(); c++)
-        out << (c > 0 ? "  " : "") << std::setw(static_cast<int>(width[c])) << text_of(rows_[i][c].second);
-      out << '\n';
-    }
+  const Row* const end = rows_.data() + rows_.size();
+  for (const Row* first = rows_.data(); first != end;) {
+    const Row* const last =
+        std::find_if_not(first, end, [&](const Row& row) { return has_same_columns(*first, row); });
+    if (first != rows_.data()) out << '\n';
+    write_table(out, first, last);
+    first = last;
   }
   return out.str();
 }
 
-std::string json_line(const Row& row) {
-  rapidjson::StringBuffer buffer;
-  rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
-  writer.StartObject();
-  for (const auto& [name, value] : row) {
-    writer.Key(name.c_str());
-    if (const auto* whole = std::get_if<std::int64_t>(&value))
-      writer.Int64(*whole);
-    else if (const auto* number = std::get_if<double>(&value))
-      writer.Double(*number);
-    else
-      writer.String(std::get<std::string>(value).c_str());
-  }
-  writer.EndObject();
-  return buffer.GetString();
-}
-
 void progress(const std::string& text) {
   if (::isatty(STDERR_FILENO) == 0) return;
   std::fprintf(stderr, "\r\033[K%s", text.c_str());
--- a/scale/resource_meters.hpp
+++ b/scale/resource_meters.hpp
@@ -1,4 +1,4 @@
-// What a piece of work costs: processor time, memory.
+// What a piece of work costs: processor time and memory. All times are in microseconds.
 #pragma once
 
 #include <cstdint>
@@ -8,33 +8,37 @@
 
 namespace scale_tool {
 
-// Processor time of this thread, microseconds: other work on the machine does not count.
-double thread_time();
+// Processor time of this thread: other work on the machine does not count.
+[[nodiscard]] double thread_cpu_time();
+// Processor time of this thread for one call.
+[[nodiscard]] double cpu_time_of(const std::function<void()>& work);
 
-// What this thread has allocated by operator new, less what it freed: bytes as the allocator rounds them,
-// with its word of bookkeeping for each block. Memory that is taken by malloc itself is not in it.
+// Memory that this thread has allocated by operator new, less what it freed: in bytes as the allocator rounds
+// them, with its word of bookkeeping for each block. Memory that is taken by malloc itself is not in it.
 struct Memory {
-  std::int64_t bytes = 0, blocks = 0;
+  std::int64_t bytes = 0;
+  std::int64_t blocks = 0;
 };
-Memory allocated();
-// The most bytes since the mark.
-void mark_peak();
-std::int64_t peak_bytes();
-
-// Processor time of one call, microseconds.
-double time_of(const std::function<void()>& work);
-double median(std::vector<double> all);  // 0 of none
-// Of so many results.
-double median_of(std::int64_t repetitions, const std::function<double()>& measure);
-
-// A folder of its own, gone with this.
+[[nodiscard]] Memory allocated();
+// The most bytes since the last reset of the peak.
+[[nodiscard]] std::int64_t peak_bytes();
+void reset_peak();
+
+// 0 of no values.
+[[nodiscard]] double median(std::vector<double> values);
+// The median of so many measurements.
+[[nodiscard]] double median_of(std::int64_t repetitions, const std::function<double()>& measure);
+
+// A temporary folder of its own, which is removed with this.
 class ScratchFolder {
  public:
-  ScratchFolder();  // throws std::system_error
+  // Throws std::system_error where it can't be made.
+  ScratchFolder();
   ~ScratchFolder();
   ScratchFolder(const ScratchFolder&) = delete;
   ScratchFolder& operator=(const ScratchFolder&) = delete;
-  const std::string& path() const { return path_; }
+
+  [[nodiscard]] const std::string& path() const { return path_; }
 
  private:
   std::string path_;
--- a/scale/simulation/virtual_time.hpp
+++ b/scale/simulation/virtual_time.hpp
@@ -5,12 +5,12 @@
 #include <cstdint>
 
 #include "dispatch/dispatcher.hpp"
+#include "units.hpp"
 
 namespace scale_tool::simulation {
 
 using dispatch::Time;
 
-constexpr double kMicrosecondsPerSecond = 1e6;
 // Later than all that happens, and small enough to have durations added to it.
 constexpr Time kNever = INT64_MAX / 4;
 
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -3,123 +3,99 @@
 #include <algorithm>
 #include <cmath>
 #include <sstream>
+#include <utility>
 
 #include "resource_meters.hpp"
 
 namespace scale_tool {
 namespace {
 
-constexpr std::int64_t kMostSize = 20'000'000;
-
-// Fewer than two sizes make no line.
-void read_sizes(Experiment& experiment, const std::string& key, Sizes& sizes) {
-  experiment.read(key, sizes, 1, kMostSize);
-  std::sort(sizes.begin(), sizes.end());
-  sizes.erase(std::unique(sizes.begin(), sizes.end()), sizes.end());
-  if (sizes.size() < 2) experiment.reject(key, "two different sizes are needed");
-}
-
-std::string text_of(const std::vector<double>& sizes) {
+std::string join(const std::vector<double>& sizes) {
+  if (sizes.empty()) return "-";
   std::ostringstream out;
   for (const double size : sizes) out << (out.tellp() > 0 ? " " : "") << static_cast<std::int64_t>(size);
-  return out.str().empty() ? "-" : out.str();
+  return out.str();
 }
 
-double asked(const SlopesSettings& s, const std::string& of) {
-  if (of == kEndpoints || of == kWatched) return s.asked_endpoints;
-  if (of == kMessages) return s.asked_messages;
-  if (of == kDestinationsDown || of == kRecalled) return s.asked_destinations;
-  if (of == kRate) return s.asked_messages_per_s;
-  return 0;
-}
-
-// Where a cost does not grow in a line, this tells more of larger sizes.
-double power_at(const Point& last, double exponent, double size) {
+// Where a cost does not grow in a line, this tells more of larger sizes than the line does.
+double extrapolate_power(const Point& last, double exponent, double size) {
   return last.cost * std::pow(size / last.size, exponent);
 }
 
 }  // namespace
 
-void SlopesSettings::read(Experiment& e) {
-  e.read("repetitions", repetitions, 1, 1000);
-  e.read("endpoints_per_destination", endpoints_per_destination, 1, 1000);
-  e.read("body_bytes", body_bytes, 0, 64 * 1024);
-  e.read("down", down, 1, 100'000);
-  read_sizes(e, "endpoints", endpoints);
-  read_sizes(e, "messages", messages);
-  read_sizes(e, "destinations_down", destinations_down);
-  read_sizes(e, "calls_out", calls_out);
-  read_sizes(e, "recalled", recalled);
-  read_sizes(e, "batch", batch);
-  read_sizes(e, "watched", watched);
-  read_sizes(e, "rates", rates);
-  e.read("asked_endpoints", asked_endpoints, 0, 1e12);
-  e.read("asked_destinations", asked_destinations, 0, 1e12);
-  e.read("asked_messages", asked_messages, 0, 1e12);
-  e.read("asked_messages_per_s", asked_messages_per_s, 0.001, 1e12);
-  e.read("asked_memory_bytes", asked_memory_bytes, 0, 1e15);
-  e.read("asked_restart_s", asked_restart_s, 0, 1e6);
-  e.read("list_limit_bytes", list_limit_bytes, 1, std::int64_t{1} << 40);
-}
+SlopeRecorder::SlopeRecorder(Report& report, const SlopesSettings& settings, std::string part)
+    : report_(report), settings_(settings), part_(std::move(part)) {}
 
-void Slopes::tell(const std::string& cost, const std::string& of, std::int64_t size, double value) {
-  report_.add({{"part", part_}, {"cost", cost}, {"of", of}, {"size", size}, {"measured", value}});
-  progress(part_ + ": " + cost + " at " + std::to_string(size) + " " + of);
+void SlopeRecorder::report_value(SizeKind kind, std::int64_t size, const Cost& cost) {
+  const std::string size_name = to_string(kind);
+  report_.add(
+      {{"part", part_}, {"cost", cost.name}, {"of", size_name}, {"size", size}, {"measured", cost.value}});
+  progress(part_ + ": " + cost.name + " at " + std::to_string(size) + " " + size_name);
 }
 
-void Slopes::add(const std::string& cost, const std::string& of, std::int64_t size, double value) {
-  tell(cost, of, size, value);
-  series(cost, of).points.push_back({static_cast<double>(size), value});
+void SlopeRecorder::add(SizeKind kind, std::int64_t size, const Cost& cost) {
+  report_value(kind, size, cost);
+  Series* series = find_series(kind, cost.name);
+  if (series == nullptr)
+    series = &series_.emplace_back(Series{.cost_name = cost.name, .kind = kind, .points = {}});
+  series->points.push_back({.size = static_cast<double>(size), .cost = cost.value});
 }
 
-void Slopes::add_medians(const std::string& of, std::int64_t size, const std::function<Costs()>& measure) {
-  std::vector<Costs> all;
-  for (std::int64_t i = 0; i < set.repetitions; i++) all.push_back(measure());
-  for (std::size_t k = 0; k < all[0].size(); k++) {
+void SlopeRecorder::add_medians(SizeKind kind, std::int64_t size, const std::function<Costs()>& measure) {
+  std::vector<Costs> repetitions;
+  for (std::int64_t i = 0; i < settings_.repetitions; i++) repetitions.push_back(measure());
+  for (std::size_t i = 0; i < repetitions.front().size(); i++) {
     std::vector<double> values;
-    for (const Costs& one : all) values.push_back(one.at(k).second);
-    add(all[0][k].first, of, size, median(std::move(values)));
+    for (const Costs& costs : repetitions) values.push_back(costs.at(i).value);
+    add(kind, size, {repetitions.front()[i].name, median(std::move(values))});
   }
 }
 
-Slopes::Series& Slopes::series(const std::string& cost, const std::string& of) {
-  const auto it = std::find_if(series_.begin(), series_.end(),
-                               [&](const Series& s) { return s.cost == cost && s.of == of; });
-  return it != series_.end() ? *it : series_.emplace_back(Series{cost, of, {}, 0});
+SlopeRecorder::Series* SlopeRecorder::find_series(SizeKind kind, const std::string& cost_name) {
+  const auto found = std::find_if(series_.begin(), series_.end(), [&](const Series& series) {
+    return series.kind == kind && series.cost_name == cost_name;
+  });
+  return found == series_.end() ? nullptr : &*found;
 }
 
-void Slopes::reach(const std::string& cost, const std::string& of, double most) {
-  const auto it = std::find_if(series_.begin(), series_.end(),
-                               [&](const Series& s) { return s.cost == cost && s.of == of; });
-  if (it != series_.end()) it->most = most;
+void SlopeRecorder::report_size_reaching(SizeKind kind, const std::string& cost_name, double max_value) {
+  Series* series = find_series(kind, cost_name);
+  if (series != nullptr) series->max_value = max_value;
 }
 
-void Slopes::end() {
-  for (const auto& s : series_) {
-    if (s.points.size() < 2) continue;
-    const Line line = least_squares(s.points);
-    const double to = asked(set, s.of);
-    report_.add({{"part", part_},
-                 {"cost", s.cost},
-                 {"of", s.of},
-                 {"slope", line.slope},
-                 {"intercept", line.intercept},
-                 {"residual", line.residual},
-                 {"exponent", line.exponent},
-                 {"asked", static_cast<std::int64_t>(to)},
-                 {"line_there", to > 0 ? line.at(to) : 0.0},
-                 {"power_there", to > 0 ? power_at(s.points.back(), line.exponent, to) : 0.0},
-                 {"off_line_at", text_of(line.off_line_at)}});
-  }
-  for (const auto& s : series_) {
-    if (s.most <= 0 || s.points.size() < 2) continue;
-    const Line line = least_squares(s.points);
-    report_.add({{"part", part_},
-                 {"cost", s.cost},
-                 {"of", s.of},
-                 {"reaches", s.most},
-                 {"at", line.slope > 0 ? (s.most - line.intercept) / line.slope : 0.0}});
-  }
+Row SlopeRecorder::line_row(const Series& series) const {
+  const Line line = least_squares(series.points);
+  const double target = settings_.target(series.kind);
+  const double power = target > 0 ? extrapolate_power(series.points.back(), line.exponent, target) : 0;
+  return {{"part", part_},
+          {"cost", series.cost_name},
+          {"of", to_string(series.kind)},
+          {"slope", line.slope},
+          {"intercept", line.intercept},
+          {"residual", line.residual},
+          {"exponent", line.exponent},
+          {"asked", static_cast<std::int64_t>(target)},
+          {"line_there", target > 0 ? line.at(target) : 0.0},
+          {"power_there", power},
+          {"off_line_at", join(line.off_line_at)}};
+}
+
+Row SlopeRecorder::reached_row(const Series& series) const {
+  const Line line = least_squares(series.points);
+  const double size = line.slope > 0 ? (series.max_value - line.intercept) / line.slope : 0;
+  return {{"part", part_},
+          {"cost", series.cost_name},
+          {"of", to_string(series.kind)},
+          {"reaches", series.max_value},
+          {"at", size}};
+}
+
+void SlopeRecorder::report_lines() {
+  std::erase_if(series_, [](const Series& series) { return series.points.size() < 2; });
+  for (const Series& series : series_) report_.add(line_row(series));
+  for (const Series& series : series_)
+    if (series.max_value > 0) report_.add(reached_row(series));
   series_.clear();
   progress("");
 }
--- a/scale/slopes.hpp
+++ b/scale/slopes.hpp
@@ -4,81 +4,64 @@
 #include <cstdint>
 #include <functional>
 #include <string>
-#include <utility>
 #include <vector>
 
-#include "experiment.hpp"
 #include "least_squares.hpp"
 #include "report.hpp"
+#include "slopes_settings.hpp"
 
 namespace scale_tool {
 
-using Sizes = std::vector<std::int64_t>;
-// What one measurement tells: name with unit, value.
-using Costs = std::vector<std::pair<std::string, double>>;
-
-// The table [slopes] of an experiment file. The sizes of each list grow.
-struct SlopesSettings {
-  std::int64_t repetitions = 3;            // of each measurement; the median counts
-  double endpoints_per_destination = 1.7;  // listed
-  std::int64_t body_bytes = 200;           // of a message
-  std::int64_t down = 1000;                // destinations among which held messages are spread
-  Sizes endpoints{40'000, 80'000, 160'000, 323'000};
-  Sizes messages{40'000, 80'000, 160'000, 320'000};
-  Sizes destinations_down{250, 500, 1000, 2000, 4000};
-  Sizes calls_out{64, 128, 256, 512, 1024};
-  Sizes recalled{500, 1000, 2000, 4000};  // destinations, of what an earlier life had learnt
-  Sizes batch{1, 8, 64, 512};             // records written by one commit
-  Sizes watched{2000, 5000, 10'000, 20'000, 30'000, 40'000};  // endpoints told to the relay by a watch
-  Sizes rates{50, 100, 208, 416};                             // messages a second handed to the relay
-  std::string relay_program;                                  // by an argument, not by the file
-  // What a relay of the fleet is to bear; each line is followed to there. 0: not asked.
-  double asked_endpoints = 323'000, asked_destinations = 190'000, asked_messages = 9.2e6;
-  double asked_messages_per_s = 208, asked_memory_bytes = 64e6, asked_restart_s = 10;
-  std::int64_t list_limit_bytes = 4 << 20;  // kMostList of relay/platform.cpp
-
-  void read(Experiment& experiment);  // throws BadInput
+// One value of a cost. Its name ends with the unit, as in "round, us".
+struct Cost {
+  std::string name;
+  double value = 0;
 };
+using Costs = std::vector<Cost>;
 
-// Collects costs and reports them: each as it is measured, the lines at the end of a part.
-class Slopes {
+// Collects the costs of one part of the relay and reports them: each value as it is measured, the lines at
+// the end.
+// Invariant: a series holds the points of one cost over one kind of size, in the order in which they were
+// added.
+class SlopeRecorder {
  public:
-  Slopes(Report& report, const SlopesSettings& settings) : set(settings), report_(report) {}
+  // The report and the settings must outlive this. `part` is the name of the part in the report.
+  SlopeRecorder(Report& report, const SlopesSettings& settings, std::string part);
 
-  void begin(const std::string& part) { part_ = part; }
-  // `cost` names its unit, as "round, us"; `of` is one of those below.
-  void add(const std::string& cost, const std::string& of, std::int64_t size, double value);
-  // The medians of several measurements.
-  void add_medians(const std::string& of, std::int64_t size, const std::function<Costs()>& measure);
-  // What belongs to no line.
-  void tell(const std::string& cost, const std::string& of, std::int64_t size, double value);
-  // Also to be told with the lines: at what size this cost's reaches so much.
-  void reach(const std::string& cost, const std::string& of, double most);
-  void end();
+  [[nodiscard]] const SlopesSettings& settings() const { return settings_; }
 
-  const SlopesSettings& set;
+  // Reports a value and adds it to the series of its cost.
+  void add(SizeKind kind, std::int64_t size, const Cost& cost);
+  // Calls `measure` as often as the settings say, and adds the median of each cost.
+  void add_medians(SizeKind kind, std::int64_t size, const std::function<Costs()>& measure);
+  // Reports a value that belongs to no line.
+  void report_value(SizeKind kind, std::int64_t size, const Cost& cost);
+  // The lines are to tell, too, at what size this cost reaches `max_value`. 0: not known, nothing is told.
+  void report_size_reaching(SizeKind kind, const std::string& cost_name, double max_value);
+  // Reports the lines through all series.
+  void report_lines();
 
  private:
   struct Series {
-    std::string cost, of;
+    std::string cost_name;
+    SizeKind kind = SizeKind::listed_endpoints;
     std::vector<Point> points;
-    double most = 0;  // 0: not to be told
+    double max_value = 0;  // 0: none
   };
-  Series& series(const std::string& cost, const std::string& of);
+  Series* find_series(SizeKind kind, const std::string& cost_name);
+  Row line_row(const Series& series) const;
+  Row reached_row(const Series& series) const;
+
   Report& report_;
+  const SlopesSettings& settings_;
   std::string part_;
-  std::vector<Series> series_;  // of this part
+  std::vector<Series> series_;
 };
 
-// What sizes are sizes of.
-inline const std::string kEndpoints = "endpoints listed", kWatched = "endpoints on a watch",
-                         kMessages = "messages held", kDestinationsDown = "destinations down",
-                         kCallsOut = "calls out", kRecalled = "destinations learnt",
-                         kBatch = "records a commit", kRate = "messages a second";
-
-void module_slopes(Slopes& slopes);
-void journal_slopes(Slopes& slopes);
-void list_slopes(Slopes& slopes);
-void relay_slopes(Slopes& slopes);
+// Each measures one part. Throws std::runtime_error where the part does not do its work.
+void measure_module(SlopeRecorder& recorder);
+void measure_journal(SlopeRecorder& recorder);
+void measure_endpoint_list(SlopeRecorder& recorder);
+void measure_relay(SlopeRecorder& recorder);
 
 }  // namespace scale_tool
--- /dev/null
+++ b/scale/units.hpp
@@ -0,0 +1,9 @@
+// Conversions of units.
+#pragma once
+
+namespace scale_tool {
+
+constexpr double kMicrosecondsPerSecond = 1e6;
+constexpr double kMicrosecondsPerNanosecond = 1e-3;
+
+}  // namespace scale_tool
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,4 +1,4 @@
-// The scale tool: its arithmetic, its files and arguments, and work that is counted, never timed.
+// The scale tool: its arithmetic, its files and arguments, and costs that are counted, never timed.
 #include <gtest/gtest.h>
 #include <sys/wait.h>
 
@@ -6,6 +6,9 @@
 #include <cstdio>
 #include <fstream>
 #include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
 
 #include "least_squares.hpp"
 #include "resource_meters.hpp"
@@ -14,171 +17,206 @@
 namespace scale_tool {
 namespace {
 
+constexpr double kRoundingError = 1e-12;
+
 TEST(LeastSquares, FindsTheLineAndWhatIsOffIt) {
   const Line line = least_squares({{1, 5}, {2, 7}, {4, 11}});
-  EXPECT_NEAR(line.slope, 2, 1e-12);
-  EXPECT_NEAR(line.intercept, 3, 1e-12);
-  EXPECT_NEAR(line.residual, 0, 1e-12);
+  EXPECT_NEAR(line.slope, 2, kRoundingError);
+  EXPECT_NEAR(line.intercept, 3, kRoundingError);
+  EXPECT_NEAR(line.residual, 0, kRoundingError);
   EXPECT_TRUE(line.off_line_at.empty());
   EXPECT_NEAR(line.at(1e6), 2'000'003, 1e-6);
-  // Known: squares of 1 to 4 have the line 5 x - 5, deviations 1, -1, -1, 1 about a mean of 7.5.
-  const Line bent = least_squares({{1, 1}, {2, 4}, {3, 9}, {4, 16}});
-  EXPECT_NEAR(bent.slope, 5, 1e-12);
-  EXPECT_NEAR(bent.intercept, -5, 1e-12);
-  EXPECT_NEAR(bent.residual, 1 / 7.5, 1e-12);
-  EXPECT_NEAR(bent.exponent, 2, 1e-12);
-  EXPECT_EQ(bent.off_line_at, (std::vector<double>{1, 2}));
+  // The squares of 1 to 4 have the line 5 x - 5, with deviations 1, -1, -1, 1 about a mean of 7.5.
+  const Line squares = least_squares({{1, 1}, {2, 4}, {3, 9}, {4, 16}});
+  EXPECT_NEAR(squares.slope, 5, kRoundingError);
+  EXPECT_NEAR(squares.intercept, -5, kRoundingError);
+  EXPECT_NEAR(squares.residual, 1 / 7.5, kRoundingError);
+  EXPECT_NEAR(squares.exponent, 2, kRoundingError);
+  EXPECT_EQ(squares.off_line_at, (std::vector<double>{1, 2}));
 }
 
-TEST(LeastSquares, KeepsItsDigitsFarFromNothingAndRefusesOneSize) {
+TEST(LeastSquares, KeepsItsDigitsWithLargeSizesAndRejectsASingleSize) {
   EXPECT_NEAR(least_squares({{1e9, 1}, {1e9 + 1, 2}, {1e9 + 2, 3}}).slope, 1, 1e-9);
-  EXPECT_THROW(least_squares({{3, 1}, {3, 2}}), std::invalid_argument);
-  EXPECT_THROW(least_squares({}), std::invalid_argument);
+  EXPECT_THROW(static_cast<void>(least_squares({{3, 1}, {3, 2}})), std::invalid_argument);
+  EXPECT_THROW(static_cast<void>(least_squares({})), std::invalid_argument);
 }
 
-TEST(Meters, CountWhatIsHeldAndTheMostOfIt) {
+TEST(ResourceMeters, CountWhatIsAllocatedAndItsPeak) {
+  constexpr int kBlocks = 10;
+  constexpr int kBlockBytes = 1000;
   const Memory before = allocated();
-  mark_peak();
-  std::vector<std::unique_ptr<char[]>> held;
-  held.reserve(10);
-  for (int i = 0; i < 10; i++) held.push_back(std::make_unique<char[]>(1000));
-  const Memory with = allocated();
-  EXPECT_EQ(with.blocks - before.blocks, 11);
-  EXPECT_GE(with.bytes - before.bytes, 10 * 1000);
-  held = decltype(held)();
+  reset_peak();
+  std::vector<std::unique_ptr<char[]>> blocks;
+  blocks.reserve(kBlocks);
+  for (int i = 0; i < kBlocks; i++) blocks.push_back(std::make_unique<char[]>(kBlockBytes));
+  const Memory with_blocks = allocated();
+  EXPECT_EQ(with_blocks.blocks - before.blocks, kBlocks + 1);  // and the vector's own
+  EXPECT_GE(with_blocks.bytes - before.bytes, kBlocks * kBlockBytes);
+  blocks = decltype(blocks)();
   EXPECT_EQ(allocated().blocks, before.blocks);
   EXPECT_EQ(allocated().bytes, before.bytes);
-  EXPECT_GE(peak_bytes() - before.bytes, 10 * 1000);
+  EXPECT_GE(peak_bytes() - before.bytes, kBlocks * kBlockBytes);
 }
 
-struct Ran {
-  int status = -1;
-  std::string said;  // on both streams
+struct ProgramRun {
+  int exit_status = -1;
+  std::string output;  // on both streams
 };
-Ran run(const std::string& arguments) {
-  Ran ran;
-  FILE* out = ::popen((std::string(SCALE_TOOL_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
-  if (out == nullptr) return ran;
-  std::array<char, 4096> part{};
-  while (const auto n = std::fread(part.data(), 1, part.size(), out)) ran.said.append(part.data(), n);
-  const int status = ::pclose(out);
-  ran.status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-  return ran;
+
+ProgramRun run_scale_tool(const std::string& arguments) {
+  ProgramRun run;
+  const std::string command = std::string(SCALE_TOOL_PROGRAM) + " " + arguments + " 2>&1";
+  FILE* pipe = ::popen(command.c_str(), "r");
+  if (pipe == nullptr) return run;
+  std::array<char, 4096> buffer{};
+  while (const auto bytes = std::fread(buffer.data(), 1, buffer.size(), pipe))
+    run.output.append(buffer.data(), bytes);
+  const int status = ::pclose(pipe);
+  run.exit_status = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return run;
 }
 
 // Each is named with its line, before anything is measured.
 TEST(SlopesCommand, NamesWhatIsWrongInAnExperimentFile) {
+  struct Case {
+    std::string text;
+    std::string problem;  // after the path
+  };
+  const Case cases[] = {{"[slopes]\nrepetitions = 3\nrepetition = 3\n", ":3: slopes.repetition: unknown"},
+                        {"[slopes]\nrepetitions = 'three'\n", ":2: slopes.repetitions: a whole number"},
+                        {"[slopes]\n\nrepetitions = 0\n",
+                         ":3: slopes.repetitions: a whole number, must lie between 1 and 1000"},
+                        {"[slopes]\nendpoints = [10, 20.5]\n", ":2: slopes.endpoints: whole numbers"},
+                        {"[slopes]\nendpoints = [10, 10]\n", ":2: slopes.endpoints: two different sizes"},
+                        {"slopes = 7\n", ":1: slopes: must be a table"},
+                        {"[slopes]\nendpoints = [\n", ":"}};
   const ScratchFolder folder;
-  const std::string file = folder.path() + "/x.toml";
-  const std::vector<std::pair<std::string, std::string>> cases{
-      {"[slopes]\nrepetitions = 3\nrepetition = 3\n", ":3: slopes.repetition: unknown"},
-      {"[slopes]\nrepetitions = 'three'\n", ":2: slopes.repetitions: a whole number"},
-      {"[slopes]\n\nrepetitions = 0\n",
-       ":3: slopes.repetitions: a whole number, must lie between 1 and 1000"},
-      {"[slopes]\nendpoints = [10, 20.5]\n", ":2: slopes.endpoints: whole numbers"},
-      {"[slopes]\nendpoints = [10, 10]\n", ":2: slopes.endpoints: two different sizes"},
-      {"slopes = 7\n", ":1: slopes: must be a table"},
-      {"[slopes]\nendpoints = [\n", ":"}};
+  const std::string file = folder.path() + "/experiment.toml";
   for (const auto& [text, problem] : cases) {
     std::ofstream(file) << text;
-    const Ran ran = run("slopes --experiment " + file);
-    EXPECT_EQ(ran.status, 2) << text;
-    EXPECT_NE(ran.said.find("scale_tool: " + file + problem), std::string::npos) << ran.said;
+    const ProgramRun run = run_scale_tool("slopes --experiment " + file);
+    EXPECT_EQ(run.exit_status, 2) << text;
+    EXPECT_NE(run.output.find("scale_tool: " + file + problem), std::string::npos) << run.output;
   }
 }
 
 TEST(SlopesCommand, EndsWith2OnABadArgument) {
-  for (const std::string bad :
+  for (const std::string arguments :
        {"slopes --onyl module", "slopes --only nonsense", "slopes --experiment /nowhere.toml",
         "slopes --json /nowhere/x.json --only module", "nonsense", ""}) {
-    const Ran ran = run(bad);
-    EXPECT_EQ(ran.status, 2) << bad;
-    EXPECT_FALSE(ran.said.empty()) << bad;
+    const ProgramRun run = run_scale_tool(arguments);
+    EXPECT_EQ(run.exit_status, 2) << arguments;
+    EXPECT_FALSE(run.output.empty()) << arguments;
   }
-  EXPECT_EQ(run("slopes --help").status, 0);
+  EXPECT_EQ(run_scale_tool("slopes --help").exit_status, 0);
 }
 
 // Endpoints on either side of the longest list that a relay reads, 4 MiB.
-constexpr std::int64_t kMany = 31'000, kTooMany = 32'000;
+constexpr std::int64_t kReadableEndpoints = 31'000;
+constexpr std::int64_t kTooManyEndpoints = 32'000;
+constexpr double kMaxListBytes = 4 << 20;
+
+// At a few times this residual a cost would not be taken to grow in a line.
+constexpr double kMaxResidual = 0.02;
+
+const SlopesSettings& small_sizes() {
+  static const SlopesSettings settings = [] {
+    SlopesSettings small;
+    small.repetitions = 1;
+    small.destinations_of_messages = 10;
+    small.listed_endpoints = {200, 400, 800};
+    small.held_messages = {200, 400, 800};
+    small.unavailable_destinations = {4, 8};
+    small.calls_in_flight = {4, 8};
+    small.learned_destinations = {4, 8};
+    small.records_per_commit = {4, 8};
+    small.watched_endpoints = {kReadableEndpoints, kTooManyEndpoints};
+    small.messages_per_second = {10, 20};
+    small.relay_program = MESSAGE_RELAY_PROGRAM;
+    return small;
+  }();
+  return settings;
+}
 
-// A part at small sizes, measured once; the row of a line.
-class Part {
+// The report of a part that is measured once at small sizes.
+class PartReport {
  public:
-  explicit Part(void (*measure)(Slopes&)) : report_(""), slopes_(report_, small()) {
-    slopes_.begin("part"), measure(slopes_), slopes_.end();
+  explicit PartReport(void (*measure)(SlopeRecorder&)) : report_("") {
+    SlopeRecorder recorder(report_, small_sizes(), "part");
+    measure(recorder);
+    recorder.report_lines();
+  }
+
+  [[nodiscard]] double slope(const std::string& cost, SizeKind kind) const {
+    return number(cost, kind, "slope");
   }
-  double line(const std::string& cost, const std::string& of, const std::string& column) const {
-    return find(cost, of, column);
+  [[nodiscard]] double residual(const std::string& cost, SizeKind kind) const {
+    return number(cost, kind, "residual");
+  }
+  // The size at which the cost reaches its limit.
+  [[nodiscard]] double size_at_limit(const std::string& cost, SizeKind kind) const {
+    return number(cost, kind, "at");
+  }
+  // At which the cost was measured, in no line.
+  [[nodiscard]] std::vector<Value> sizes_of(const std::string& cost) const {
+    std::vector<Value> sizes;
+    for (const Row& row : report_.rows())
+      if (row[1].value == Value(cost)) sizes.push_back(row[3].value);
+    return sizes;
   }
-  const std::vector<Row>& rows() const { return report_.rows(); }
-  double reached(const std::string& cost, const std::string& of) const { return find(cost, of, "at"); }
 
  private:
-  double find(const std::string& cost, const std::string& of, const std::string& column) const {
+  double number(const std::string& cost, SizeKind kind, const std::string& column) const {
     for (const Row& row : report_.rows())
-      if (row[1].second == Value(cost) && row[2].second == Value(of))
-        for (const auto& [name, value] : row)
-          if (name == column) return std::get<double>(value);
-    ADD_FAILURE() << "no " << column << " of " << cost << ", " << of;
+      if (row[1].value == Value(cost) && row[2].value == Value(to_string(kind)))
+        for (const Cell& cell : row)
+          if (cell.column == column) return std::get<double>(cell.value);
+    ADD_FAILURE() << "no " << column << " of " << cost << ", " << to_string(kind);
     return 0;
   }
-  static const SlopesSettings& small() {
-    static const SlopesSettings s = [] {
-      SlopesSettings all;
-      all.repetitions = 1, all.down = 10;
-      all.endpoints = all.messages = {200, 400, 800};
-      all.destinations_down = all.calls_out = all.recalled = all.batch = {4, 8};
-      all.watched = {kMany, kTooMany}, all.rates = {10, 20};
-      all.relay_program = MESSAGE_RELAY_PROGRAM;
-      return all;
-    }();
-    return s;
-  }
+
   Report report_;
-  Slopes slopes_;
 };
 
 // Bounds with room for another library's maps, none for a second copy of a list or of the messages.
 TEST(ModuleSlopes, MemoryGrowsInALineWithEndpointsAndMessages) {
-  const Part module(module_slopes);
-  EXPECT_LT(module.line("memory, bytes", kEndpoints, "residual"), 0.02);
-  EXPECT_LT(module.line("memory, bytes", kEndpoints, "slope"), 1200);
-  EXPECT_LT(module.line("memory, bytes", kMessages, "residual"), 0.02);
-  EXPECT_LT(module.line("memory, bytes", kMessages, "slope"), 350);
+  const PartReport module(measure_module);
+  EXPECT_LT(module.residual("memory, bytes", SizeKind::listed_endpoints), kMaxResidual);
+  EXPECT_LT(module.slope("memory, bytes", SizeKind::listed_endpoints), 1200);
+  EXPECT_LT(module.residual("memory, bytes", SizeKind::held_messages), kMaxResidual);
+  EXPECT_LT(module.slope("memory, bytes", SizeKind::held_messages), 350);
 }
 
 // A record holds the body once, names and numbers beside it; memory the body and the message's node.
 TEST(JournalSlopes, BytesOnDiskAndMemoryGrowInALineWithMessages) {
-  const Part journal(journal_slopes);
-  const double body = static_cast<double>(SlopesSettings().body_bytes);
+  const PartReport journal(measure_journal);
+  const auto body_bytes = static_cast<double>(small_sizes().body_bytes);
   for (const std::string cost : {"on disk, bytes", "memory, bytes"}) {
-    EXPECT_LT(journal.line(cost, kMessages, "residual"), 0.02) << cost;
-    EXPECT_GT(journal.line(cost, kMessages, "slope"), body) << cost;
+    EXPECT_LT(journal.residual(cost, SizeKind::held_messages), kMaxResidual) << cost;
+    EXPECT_GT(journal.slope(cost, SizeKind::held_messages), body_bytes) << cost;
   }
-  EXPECT_LT(journal.line("on disk, bytes", kMessages, "slope"), body + 120);
-  EXPECT_LT(journal.line("memory, bytes", kMessages, "slope"), 2 * body + 600);
+  EXPECT_LT(journal.slope("on disk, bytes", SizeKind::held_messages), body_bytes + 120);
+  EXPECT_LT(journal.slope("memory, bytes", SizeKind::held_messages), 2 * body_bytes + 600);
 }
 
 TEST(ListSlopes, BytesGrowInALineAndTellWhereAListIsTooLong) {
-  const Part list(list_slopes);
-  EXPECT_LT(list.line("whole list, bytes", kEndpoints, "residual"), 0.02);
-  const double bytes = list.line("whole list, bytes", kEndpoints, "slope");
-  EXPECT_GT(bytes, 100);
-  EXPECT_LT(bytes, 200);
-  EXPECT_NEAR(list.reached("whole list, bytes", kEndpoints), (4 << 20) / bytes, 50);
-  EXPECT_LT(list.line("members, bytes", kEndpoints, "slope"), 400);
+  const PartReport list(measure_endpoint_list);
+  EXPECT_LT(list.residual("whole list, bytes", SizeKind::listed_endpoints), kMaxResidual);
+  const double bytes_per_endpoint = list.slope("whole list, bytes", SizeKind::listed_endpoints);
+  EXPECT_GT(bytes_per_endpoint, 100);
+  EXPECT_LT(bytes_per_endpoint, 200);
+  EXPECT_NEAR(list.size_at_limit("whole list, bytes", SizeKind::listed_endpoints),
+              kMaxListBytes / bytes_per_endpoint, 50);
+  EXPECT_LT(list.slope("members, bytes", SizeKind::listed_endpoints), 400);
 }
 
 // The program itself: all messages are delivered (else the part throws), and the list ends where the tool
 // says.
-TEST(RelaySlopes, ARelayAmongStandInsReadsListsUpToItsLimit) {
-  const Part relay(relay_slopes);
-  EXPECT_EQ(relay.line("one change on the watch, bytes", kEndpoints, "slope"), 0);
-  EXPECT_EQ(relay.line("one change on the watch, bytes", kEndpoints, "residual"), 0);
-  std::vector<Value> too_long;
-  for (const Row& row : relay.rows())
-    if (row[1].second == Value("not ready, a list too long, bytes")) too_long.push_back(row[3].second);
-  EXPECT_EQ(too_long, std::vector<Value>{kTooMany});
+TEST(RelaySlopes, ARelayAmongItsPeersReadsListsUpToItsLimit) {
+  const PartReport relay(measure_relay);
+  EXPECT_EQ(relay.slope("one change on the watch, bytes", SizeKind::listed_endpoints), 0);
+  EXPECT_EQ(relay.residual("one change on the watch, bytes", SizeKind::listed_endpoints), 0);
+  EXPECT_EQ(relay.sizes_of("not ready, a list too long, bytes"), std::vector<Value>{kTooManyEndpoints});
 }
 
 }  // namespace
