Clear clang-tidy's findings in the scale tool and its test

Cause: deprecated C headers, local constants in another case, products that widen, a temporary file object, concatenation in a loop. Change: the C++ headers, constants at file scope, write_file() for the two files of a relay's folder. Nothing is suppressed.

--- a/scale/endpoint_catalogue.cpp
+++ b/scale/endpoint_catalogue.cpp
@@ -5,6 +5,9 @@
 namespace scale_tool {
 namespace {
 
+// Multiplication by an odd number, modulo 2^32, is one to one.
+constexpr std::uint32_t kOddFactor = 2'654'435'761;
+
 // In 10.0.0.0/8.
 std::string own_address(std::int64_t endpoint) {
   return "10." + std::to_string(endpoint >> 16) + "." + std::to_string((endpoint >> 8) & 255) + "." +
@@ -14,8 +17,6 @@
 }  // namespace
 
 std::string endpoint_name(std::int64_t number) {
-  // Multiplication by an odd number, modulo 2^32, is one to one.
-  constexpr std::uint32_t kOddFactor = 2'654'435'761;
   char text[16];
   std::snprintf(text, sizeof text, "s-%08x", static_cast<std::uint32_t>(number) * kOddFactor);
   return text;
--- a/scale/list_slopes.cpp
+++ b/scale/list_slopes.cpp
@@ -14,7 +14,7 @@
 namespace scale_tool {
 namespace {
 
-constexpr std::size_t kMaxReadBytes = 64 * 1024;  // that one read of the socket brings
+constexpr std::size_t kMaxReadBytes = 65'536;  // that one read of the socket brings
 
 // The list as it comes out of a stream. Throws std::runtime_error where it does not.
 std::string split_from_stream(const std::string& list) {
--- a/scale/relay_process.cpp
+++ b/scale/relay_process.cpp
@@ -1,11 +1,11 @@
 #include "relay_process.hpp"
 
-#include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -23,6 +23,12 @@
 constexpr int kNotFound = 127;
 constexpr std::int64_t kBytesPerKilobyte = 1024;
 
+// Replaces what the file holds.
+void write_file(const std::string& path, const std::string& content) {
+  std::ofstream file(path, std::ios::trunc);
+  file << content;
+}
+
 // In the child process: becomes the program.
 [[noreturn]] void execute(const std::string& program, const std::string& config_file,
                           const std::string& state_folder, const std::string& log_file) {
@@ -46,8 +52,8 @@
   const std::string log_file = folder + "/log";
   const std::string state = state_folder(folder);
   std::filesystem::create_directories(state);
-  std::ofstream(config_file) << config;
-  std::ofstream(log_file, std::ios::trunc);
+  write_file(config_file, config);
+  write_file(log_file, "");
   pid_ = ::fork();
   if (pid_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
   if (pid_ == 0) execute(program, config_file, state, log_file);
--- a/scale/relay_process.hpp
+++ b/scale/relay_process.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <sys/types.h>
-#include <time.h>
 
 #include <cstdint>
+#include <ctime>
 #include <string>
 
 namespace scale_tool {
--- a/scale/resource_meters.cpp
+++ b/scale/resource_meters.cpp
@@ -1,11 +1,11 @@
 #include "resource_meters.hpp"
 
 #include <malloc.h>
-#include <stdlib.h>
-#include <time.h>
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdlib>
+#include <ctime>
 #include <filesystem>
 #include <new>
 #include <system_error>
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -47,6 +47,7 @@
   for (std::int64_t i = 0; i < settings_.repetitions; i++) repetitions.push_back(measure());
   for (std::size_t i = 0; i < repetitions.front().size(); i++) {
     std::vector<double> values;
+    values.reserve(repetitions.size());
     for (const Costs& costs : repetitions) values.push_back(costs.at(i).value);
     add(kind, size, {repetitions.front()[i].name, median(std::move(values))});
   }
--- a/scale/slopes_settings.cpp
+++ b/scale/slopes_settings.cpp
@@ -9,7 +9,7 @@
 constexpr std::int64_t kMaxSize = 20'000'000;
 constexpr std::int64_t kMaxRepetitions = 1000;
 constexpr double kMaxEndpointsPerDestination = 1000;
-constexpr std::int64_t kMaxBodyBytes = 64 * 1024;
+constexpr std::int64_t kMaxBodyBytes = 65'536;
 constexpr std::int64_t kMaxDestinations = 100'000;
 constexpr double kMaxTarget = 1e12;
 constexpr double kMinTargetRate = 0.001;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -41,9 +41,10 @@
   EXPECT_THROW(static_cast<void>(least_squares({})), std::invalid_argument);
 }
 
+constexpr int kBlocks = 10;
+constexpr int kBlockBytes = 1000;
+
 TEST(ResourceMeters, CountWhatIsAllocatedAndItsPeak) {
-  constexpr int kBlocks = 10;
-  constexpr int kBlockBytes = 1000;
   const Memory before = allocated();
   reset_peak();
   std::vector<std::unique_ptr<char[]>> blocks;
@@ -92,11 +93,12 @@
                         {"[slopes]\nendpoints = [\n", ":"}};
   const ScratchFolder folder;
   const std::string file = folder.path() + "/experiment.toml";
+  const std::string prefix = "scale_tool: " + file;
   for (const auto& [text, problem] : cases) {
     std::ofstream(file) << text;
     const ProgramRun run = run_scale_tool("slopes --experiment " + file);
     EXPECT_EQ(run.exit_status, 2) << text;
-    EXPECT_NE(run.output.find("scale_tool: " + file + problem), std::string::npos) << run.output;
+    EXPECT_NE(run.output.find(std::string(prefix).append(problem)), std::string::npos) << run.output;
   }
 }
 
@@ -120,7 +122,7 @@
 constexpr double kMaxResidual = 0.02;
 
 const SlopesSettings& small_sizes() {
-  static const SlopesSettings settings = [] {
+  static const SlopesSettings kSettings = [] {
     SlopesSettings small;
     small.repetitions = 1;
     small.destinations_of_messages = 10;
@@ -135,7 +137,7 @@
     small.relay_program = MESSAGE_RELAY_PROGRAM;
     return small;
   }();
-  return settings;
+  return kSettings;
 }
 
 // The report of a part that is measured once at small sizes.
