--- a/tests/consumer/main.cpp
+++ b/tests/consumer/main.cpp
@@ -1,3 +1,4 @@
+// A program that uses the installed library: one message to one endpoint must be sent.
 #include <dispatch/dispatcher.hpp>
 
 int main() {
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -1,12 +1,20 @@
 #!/bin/sh
-# Usage: program_test.sh ADAPTER: exit status and output of the program itself.
+# The adapter's program itself: its answer to good input, its exit status and message on malformed input.
+# Usage: program_test.sh ADAPTER
 set -e
-empty=$(printf '%s\n' '{"kind":"ROUND","Clock":1}' '{"kind":"YOUR_TURN"}' | "$1")
-test "$empty" = '{"kind":"OK"}'
+adapter=$1
+round='{"kind":"ROUND","Clock":1}'
 errors=$(mktemp)
 trap 'rm -f "$errors"' EXIT
-if printf '%s\n' '{"kind":"ROUND","Clock":1}' '{"kind":"NONSENSE","Who":"relay-0"' | "$1" >/dev/null 2>"$errors"; then
-  echo "malformed input must fail"; exit 1
+
+# A round without events.
+answer=$(printf '%s\n' "$round" '{"kind":"YOUR_TURN"}' | "$adapter")
+test "$answer" = '{"kind":"OK"}'
+
+# An event without its closing brace: one line that names the place.
+if printf '%s\n' "$round" '{"kind":"NONSENSE","Who":"relay-0"' | "$adapter" >/dev/null 2>"$errors"; then
+  echo "malformed input must fail"
+  exit 1
 fi
 test "$(wc -l <"$errors")" -eq 1
 grep -q 'line 2: column' "$errors"
