Split the handover into descriptor, channel, state and exchange

Cause: one file held the descriptor's owner, the frames, the form of the records and both sides of the exchange, in functions of comma chains and untyped tags. Change: file_descriptor (RAII), handover_channel (frames), handover_state (records with typed tags, one function for each part), handover (lock, both sides, each step a function). The bytes that processes exchange and the files in the state folder are unchanged; constants say that they are an exchanged format.

--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -6,168 +6,109 @@
 #include <sys/un.h>
 #include <unistd.h>
 
-#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
 #include <cerrno>
+#include <chrono>
 #include <cstring>
-#include <stdexcept>
 #include <system_error>
 #include <thread>
+#include <utility>
+#include <vector>
 
-#include "binary_format.hpp"
 #include "log.hpp"
 
 namespace message_relay {
 
 namespace net = boost::asio;
 using boost::system::error_code;
-using Local = net::local::stream_protocol;
+using LocalProtocol = net::local::stream_protocol;
 
 namespace {
 
-// Says what follows, and in which form: another one is not understood.
-const std::string kHello = "heronvane handover 1\n", kReady = "ready", kYours = "yours", kTaken = "taken";
-constexpr auto kHelloTime = std::chrono::seconds(1);
-constexpr auto kAgain = std::chrono::milliseconds(20);
-constexpr auto kMostHeldUp = std::chrono::milliseconds(500);
-constexpr auto kAcceptPause = std::chrono::milliseconds(50);
-constexpr std::uint32_t kMostFrame = 64 << 20;
-enum Part : char { kState = 'S', kLock = 'K', kListener = 'L', kClient = 'C', kCall = 'O', kEnd = 'E' };
+// The words of the exchange. Earlier builds send and expect just these, "heronvane" among them, the program's
+// former name. The greeting says what follows, and in which form: another one is not understood.
+const std::string kGreeting = "heronvane handover 1\n";
+const std::string kReady = "ready";
+const std::string kYours = "yours";
+const std::string kTaken = "taken";
 
+// For a process that connected, to send its greeting.
+constexpr auto kGreetingTimeout = std::chrono::seconds(1);
+// Between two requests to the owner.
+constexpr auto kRequestInterval = std::chrono::milliseconds(20);
+// Each read and write of the owner, while it may still go on by itself.
+constexpr auto kOwnerTimeout = std::chrono::milliseconds(500);
+constexpr auto kNoTimeout = std::chrono::milliseconds(0);
+constexpr auto kAcceptRetryInterval = std::chrono::milliseconds(50);
+constexpr int kListenBacklog = 4;
+constexpr mode_t kLockFileMode = 0600;
+
+// Stored in the state folder: earlier builds look for them under these names.
 std::string lock_path(const std::string& folder) { return folder + "/lock"; }
 std::string socket_path(const std::string& folder) { return folder + "/handover"; }
 
-[[noreturn]] void fail(const std::string& what) {
+[[noreturn]] void throw_system_error(const std::string& what) {
   throw std::system_error(errno, std::generic_category(), "handover: " + what);
 }
 
-void set_limit(int socket, int which, std::chrono::milliseconds each) {
-  const timeval time{static_cast<time_t>(each.count() / 1000),
-                     static_cast<suseconds_t>(each.count() % 1000 * 1000)};
-  ::setsockopt(socket, SOL_SOCKET, which, &time, sizeof time);
-}
+// ---- The new process. ----
 
-BinaryWriter part(Part kind) { return BinaryWriter().number(kind); }
-
-std::string state_part(const HandoverState& e) {
-  BinaryWriter p = part(kState);
-  p.number(e.endpoint_list.version)
-      .number(e.list_received)
-      .number(e.paused)
-      .number(e.next_number)
-      .text(e.learned_state);
-  p.number(static_cast<std::uint32_t>(e.endpoint_list.entries.size()));
-  for (const auto& m : e.endpoint_list.entries) {
-    const auto& x = m.endpoint;
-    p.text(x.id).number(x.destination).number(x.zone).number(x.kind).number(x.status).number(x.weight);
-    p.number(x.added_at).text(format_address(m.address));
-  }
-  p.number(static_cast<std::uint32_t>(e.ever_listed.size()));
-  for (const auto& id : e.ever_listed) p.text(id);
-  p.number(static_cast<std::uint32_t>(e.destinations.size()));
-  for (const auto d : e.destinations) p.number(d);
-  p.number(static_cast<std::uint32_t>(e.completed_ids.size()));
-  for (const auto& [until, id] : e.completed_ids) p.number(until).text(id);
-  return p.payload();
-}
+// What has come from the owner. The descriptors are closed again unless this process takes over.
+struct Incoming {
+  StartupOwnership ownership;
+  std::vector<FileDescriptor> descriptors;  // those that the state names
+};
 
-void read_state(BinaryReader& in, HandoverState& e) {
-  e.endpoint_list.is_snapshot = true;
-  e.endpoint_list.version = in.number<std::int64_t>(), e.list_received = in.number<bool>(),
-  e.paused = in.number<bool>();
-  e.next_number = in.number<MessageId>(), e.learned_state = in.text();
-  for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
-    ListedEndpoint m;
-    auto& x = m.endpoint;
-    x.id = in.text(), x.destination = in.number<std::int64_t>();
-    x.zone = in.number<int>(), x.kind = in.number<int>(), x.status = in.number<dispatch::EndpointStatus>();
-    x.weight = in.number<double>(), x.added_at = in.number<Time>();
-    m.address = read_address(in.text(), "handover");
-    e.endpoint_list.entries.push_back(std::move(m));
+enum class RecordResult { more, complete, malformed };
+
+// Takes one record with its descriptor over into `incoming`. Throws as the decode functions do.
+RecordResult receive_record(const std::string& payload, FileDescriptor fd, Incoming& incoming) {
+  HandoverState& state = *incoming.ownership.inherited;
+  BinaryReader in(payload);
+  const HandoverRecordTag tag = decode_tag(in);
+  if (tag == HandoverRecordTag::end) {
+    const bool complete = static_cast<bool>(incoming.ownership.lock) && state.listener >= 0;
+    return complete ? RecordResult::complete : RecordResult::malformed;
   }
-  for (auto n = in.number<std::uint32_t>(); n > 0; n--) e.ever_listed.push_back(in.text());
-  for (auto n = in.number<std::uint32_t>(); n > 0; n--) e.destinations.push_back(in.number<std::int64_t>());
-  for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
-    const auto until = in.number<Time>();
-    e.completed_ids.emplace_back(until, in.text());
+  if (tag == HandoverRecordTag::state) {
+    decode_state(in, state);
+    return RecordResult::more;
   }
-}
-
-std::string call_part(const InFlightCall& c) {
-  BinaryWriter p = part(kCall);
-  p.text(c.endpoint)
-      .text(format_address(c.address))
-      .number(c.sent_at)
-      .number(c.response_due)
-      .text(c.response_bytes);
-  p.number(static_cast<std::uint32_t>(c.messages.size()));
-  for (std::size_t i = 0; i < c.messages.size(); i++) {
-    const auto& m = c.messages[i];
-    p.number(m.id).number(m.attempt).number(m.timeout).text(m.client_id);
-    p.number(c.given_up[i].has_value()).number(c.given_up[i].value_or(Outcome::timeout));
+  if (!fd) return RecordResult::malformed;
+  if (tag == HandoverRecordTag::folder_lock) {
+    incoming.ownership.lock = std::move(fd);
+    return RecordResult::more;
   }
-  return p.payload();
-}
-
-InFlightCall read_call_part(BinaryReader& in) {
-  InFlightCall c;
-  c.endpoint = in.text(), c.address = read_address(in.text(), "handover");
-  c.sent_at = in.number<Time>(), c.response_due = in.number<Time>(), c.response_bytes = in.text();
-  for (auto n = in.number<std::uint32_t>(); n > 0; n--) {
-    OutgoingMessage m;
-    m.id = in.number<MessageId>(), m.attempt = in.number<int>(), m.timeout = in.number<Time>();
-    m.client_id = in.text();
-    c.messages.push_back(std::move(m));
-    const bool given_up = in.number<bool>();
-    const auto outcome = in.number<Outcome>();
-    c.given_up.push_back(given_up ? std::optional(outcome) : std::nullopt);
+  if (tag == HandoverRecordTag::listener) state.listener = fd.get();
+  if (tag == HandoverRecordTag::client) {
+    state.clients.push_back(decode_client(in));
+    state.clients.back().socket = fd.get();
+  }
+  if (tag == HandoverRecordTag::call) {
+    state.calls.push_back(decode_call(in));
+    state.calls.back().socket = fd.get();
   }
-  return c;
+  incoming.descriptors.push_back(std::move(fd));
+  return RecordResult::more;
 }
 
-// All descriptors that have come are closed again unless the process takes over.
-struct Incoming {
-  StartupOwnership possession;
-  std::vector<FileDescriptor> descriptors;
-};
-
-// Reads the parts up to their end; false where they break off.
-bool receive_parts(HandoverChannel& channel, Incoming& incoming) {
-  HandoverState& estate = incoming.possession.inherited.emplace();
+// False where the records break off or are malformed.
+bool receive_records(HandoverChannel& channel, Incoming& incoming) {
+  incoming.ownership.inherited.emplace();
   std::string payload;
   while (true) {
     FileDescriptor fd;
     if (!channel.receive(payload, fd)) return false;
-    BinaryReader in(payload);
-    const Part kind = in.number<Part>();
-    if (kind == kEnd) return static_cast<bool>(incoming.possession.lock) && estate.listener >= 0;
-    if (kind == kState) {
-      read_state(in, estate);
-      continue;
-    }
-    if (!fd) return false;
-    if (kind == kLock) {
-      incoming.possession.lock = std::move(fd);
-      continue;
-    }
-    if (kind == kListener) estate.listener = fd.get();
-    if (kind == kClient) {
-      const bool used = in.number<bool>();
-      estate.clients.push_back({fd.get(), used, in.number<Time>()});
-    }
-    if (kind == kCall) {
-      estate.calls.push_back(read_call_part(in));
-      estate.calls.back().socket = fd.get();
-    }
-    incoming.descriptors.push_back(std::move(fd));
+    const RecordResult result = receive_record(payload, std::move(fd), incoming);
+    if (result != RecordResult::more) return result == RecordResult::complete;
   }
 }
 
-// One try to take over from the owner.
-std::optional<StartupOwnership> ask_owner(const std::string& folder) {
+// No channel where the owner does not listen.
+std::optional<HandoverChannel> connect_to_owner(const std::string& folder) {
   FileDescriptor socket(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  if (!socket) fail("socket");
+  if (!socket) throw_system_error("socket");
   sockaddr_un address{};
   address.sun_family = AF_UNIX;
   const std::string path = socket_path(folder);
@@ -175,179 +116,164 @@
   std::memcpy(address.sun_path, path.c_str(), path.size() + 1);
   if (::connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
     return std::nullopt;
-  HandoverChannel channel(std::move(socket));
+  return HandoverChannel(std::move(socket));
+}
+
+// One attempt to take over from the owner.
+std::optional<StartupOwnership> request_ownership(const std::string& folder) {
+  std::optional<HandoverChannel> channel = connect_to_owner(folder);
+  if (!channel) return std::nullopt;
   Incoming incoming;
   try {
-    if (!channel.send(kHello) || !receive_parts(channel, incoming)) return std::nullopt;
+    if (!channel->send(kGreeting) || !receive_records(*channel, incoming)) return std::nullopt;
   } catch (const std::exception& e) {
     log(std::string("handover: can't be read: ") + e.what());
     return std::nullopt;
   }
-  if (!channel.send(kReady) || !channel.receive_word(kYours)) return std::nullopt;
-  // From here on it is this process's, whether the other one still hears of it or not.
-  channel.send(kTaken);
-  for (auto& fd : incoming.descriptors) fd.release();
-  return std::move(incoming.possession);
+  if (!channel->send(kReady) || !channel->receive_word(kYours)) return std::nullopt;
+  // From here on this process owns all, whether the other one still receives the word or not.
+  channel->send(kTaken);
+  for (FileDescriptor& fd : incoming.descriptors) fd.release();
+  return std::move(incoming.ownership);
 }
 
-}  // namespace
+// ---- The folder's lock. ----
+enum class LockResult { locked, owned_by_another, unsupported };
 
-FileDescriptor& FileDescriptor::operator=(FileDescriptor&& other) noexcept {
-  if (this != &other) {
-    if (fd_ >= 0) ::close(fd_);
-    fd_ = other.release();
+LockResult lock_without_waiting(const FileDescriptor& file, const std::string& path) {
+  if (::flock(file.get(), LOCK_EX | LOCK_NB) == 0) return LockResult::locked;
+  switch (errno) {
+    case ENOSYS:
+    case ENOLCK:
+    case EOPNOTSUPP:
+    case EPERM:
+      return LockResult::unsupported;
+    case EWOULDBLOCK:
+    case EINTR:
+      return LockResult::owned_by_another;
+    default:
+      throw_system_error(path);
   }
-  return *this;
-}
-FileDescriptor::~FileDescriptor() {
-  if (fd_ >= 0) ::close(fd_);
 }
 
-void HandoverChannel::set_timeout(std::chrono::milliseconds each) {
-  set_limit(socket_.get(), SO_RCVTIMEO, each);
-  set_limit(socket_.get(), SO_SNDTIMEO, each);
+FileDescriptor open_lock_file(const std::string& path) {
+  FileDescriptor file(::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kLockFileMode));
+  if (!file) throw_system_error(path);
+  return file;
 }
 
-bool HandoverChannel::send(const std::string& payload, int fd) {
-  const std::string frame = BinaryWriter().text(payload).payload();
-  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
-  for (std::size_t done = 0; done < frame.size();) {
-    iovec piece{const_cast<char*>(frame.data() + done), frame.size() - done};
-    msghdr message{};
-    message.msg_iov = &piece, message.msg_iovlen = 1;
-    if (fd >= 0 && done == 0) {
-      message.msg_control = control.data(), message.msg_controllen = control.size();
-      cmsghdr* head = CMSG_FIRSTHDR(&message);
-      head->cmsg_level = SOL_SOCKET, head->cmsg_type = SCM_RIGHTS, head->cmsg_len = CMSG_LEN(sizeof fd);
-      std::memcpy(CMSG_DATA(head), &fd, sizeof fd);
-    }
-    const auto n = ::sendmsg(socket_.get(), &message, MSG_NOSIGNAL);
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return false;
-    done += static_cast<std::size_t>(n);
-  }
-  return true;
-}
+}  // namespace
 
-bool HandoverChannel::read(char* bytes, std::size_t size, FileDescriptor* fd) {
-  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
-  for (std::size_t done = 0; done < size;) {
-    iovec piece{bytes + done, size - done};
-    msghdr message{};
-    message.msg_iov = &piece, message.msg_iovlen = 1;
-    message.msg_control = control.data(), message.msg_controllen = control.size();
-    const auto n = ::recvmsg(socket_.get(), &message, MSG_CMSG_CLOEXEC);
-    if (n < 0 && errno == EINTR) continue;
-    if (n <= 0) return false;
-    for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr; head = CMSG_NXTHDR(&message, head)) {
-      if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
-      int one = -1;
-      std::memcpy(&one, CMSG_DATA(head), sizeof one);
-      FileDescriptor came(one);
-      if (fd != nullptr) *fd = std::move(came);
-    }
-    done += static_cast<std::size_t>(n);
+StartupOwnership acquire_ownership(const std::string& folder) {
+  const std::string path = lock_path(folder);
+  for (bool first_attempt = true;; first_attempt = false) {
+    FileDescriptor file = open_lock_file(path);
+    const LockResult result = lock_without_waiting(file, path);
+    if (result == LockResult::unsupported)
+      // Whoever starts is the owner then: the platform ends the process before it.
+      log("handover: " + path + ": " + std::strerror(errno) + "; going on without a lock");
+    if (result != LockResult::owned_by_another) return {std::move(file), std::nullopt};
+    if (auto ownership = request_ownership(folder)) return std::move(*ownership);
+    if (first_attempt) log("handover: another process owns the folder; asking until it hands over or ends");
+    std::this_thread::sleep_for(kRequestInterval);
   }
-  return true;
 }
 
-bool HandoverChannel::receive(std::string& payload, FileDescriptor& fd) {
-  std::uint32_t size = 0;
-  if (!read(reinterpret_cast<char*>(&size), sizeof size, &fd) || size > kMostFrame) return false;
-  payload.resize(size);
-  return read(payload.data(), size, nullptr);
-}
+// ---- The owner. ----
+namespace {
 
-bool HandoverChannel::receive_word(const std::string& word) {
-  std::string came;
-  FileDescriptor none;
-  return receive(came, none) && came == word;
+bool send_records(HandoverChannel& channel, const HandoverState& state, int lock) {
+  if (!channel.send(encode_state(state))) return false;
+  if (!channel.send(encode_tag(HandoverRecordTag::folder_lock), lock)) return false;
+  if (!channel.send(encode_tag(HandoverRecordTag::listener), state.listener)) return false;
+  for (const IdleClient& client : state.clients)
+    if (!channel.send(encode_client(client), client.socket)) return false;
+  for (const InFlightCall& call : state.calls)
+    if (!channel.send(encode_call(call), call.socket)) return false;
+  return channel.send(encode_tag(HandoverRecordTag::end));
 }
 
-StartupOwnership acquire_ownership(const std::string& folder) {
-  for (bool told = false;; told = true) {
-    FileDescriptor lock(::open(lock_path(folder).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
-    if (!lock) fail(lock_path(folder));
-    if (::flock(lock.get(), LOCK_EX | LOCK_NB) == 0) return {std::move(lock), std::nullopt};
-    if (errno == ENOSYS || errno == ENOLCK || errno == EOPNOTSUPP || errno == EPERM) {
-      // Where there are no locks, whoever starts is the owner: the platform ends the one before it.
-      log("handover: " + lock_path(folder) + ": " + std::strerror(errno) + "; going on without a lock");
-      return {std::move(lock), std::nullopt};
-    }
-    if (errno != EWOULDBLOCK && errno != EINTR) fail(lock_path(folder));
-    if (auto taken = ask_owner(folder)) return std::move(*taken);
-    if (!told) log("handover: another process owns the folder; asking until it hands over or ends");
-    std::this_thread::sleep_for(kAgain);
-  }
-}
+}  // namespace
 
-bool hand_over(HandoverChannel& channel, const HandoverState& estate, int lock) {
-  channel.set_timeout(kMostHeldUp);
-  bool sent = channel.send(state_part(estate)) && channel.send(part(kLock).payload(), lock) &&
-              channel.send(part(kListener).payload(), estate.listener);
-  for (const auto& c : estate.clients)
-    sent =
-        sent && channel.send(part(kClient).number(c.served_before).number(c.idle_since).payload(), c.socket);
-  for (const auto& c : estate.calls) sent = sent && channel.send(call_part(c), c.socket);
-  if (!sent || !channel.send(part(kEnd).payload()) || !channel.receive_word(kReady)) return false;
-  // From here on only its word, or its end, tells who owns all: however long that takes, nothing may be done.
-  channel.set_timeout(std::chrono::milliseconds(0));
+bool hand_over(HandoverChannel& channel, const HandoverState& state, int lock) {
+  channel.set_timeout(kOwnerTimeout);
+  if (!send_records(channel, state, lock) || !channel.receive_word(kReady)) return false;
+  // From here on only the other process's word, or its end, tells who owns all: however long that takes,
+  // nothing may be done.
+  channel.set_timeout(kNoTimeout);
   return channel.send(kYours) && channel.receive_word(kTaken);
 }
 
-// ---- The owner's side. ----
-struct HandoverListener::Asking {
-  Asking(net::io_context& io, Local::socket s) : socket(std::move(s)), timer(io) {}
-  Local::socket socket;
+// A process that has connected and is to send its greeting.
+struct HandoverListener::PendingRequest {
+  PendingRequest(net::io_context& io, LocalProtocol::socket connected)
+      : socket(std::move(connected)), timer(io) {}
+
+  LocalProtocol::socket socket;
   net::steady_timer timer;
-  std::string hello = std::string(BinaryWriter().text(kHello).payload().size(), '\0');
+  std::string expected = BinaryWriter().text(kGreeting).payload();
+  std::string received = std::string(expected.size(), '\0');
 };
 
-HandoverListener::HandoverListener(net::io_context& io, const std::string& folder, Asked asked)
-    : io_(io), acceptor_(io), pause_(io), asked_(std::move(asked)) {
+HandoverListener::HandoverListener(net::io_context& io, const std::string& folder, RequestHandler on_request)
+    : io_(io), acceptor_(io), accept_timer_(io), on_request_(std::move(on_request)) {
   const std::string path = socket_path(folder);
-  ::unlink(path.c_str());  // of the process that owned the folder before
-  error_code bad;
-  if (path.size() >= sizeof(sockaddr_un::sun_path))
-    bad = net::error::name_too_long;
-  else if (acceptor_.open(Local(), bad); !bad)
-    acceptor_.bind(Local::endpoint(path), bad);
-  if (!bad) acceptor_.listen(4, bad);
-  if (bad)
+  if (const error_code bad = listen(path))
     log("handover: " + path + ": " + bad.message() + "; a next process has to wait for this one's end");
   else
     accept();
 }
+
 HandoverListener::~HandoverListener() = default;
 
+error_code HandoverListener::listen(const std::string& path) {
+  ::unlink(path.c_str());  // of the process that owned the folder before
+  if (path.size() >= sizeof(sockaddr_un::sun_path)) return net::error::name_too_long;
+  error_code bad;
+  acceptor_.open(LocalProtocol(), bad);
+  if (!bad) acceptor_.bind(LocalProtocol::endpoint(path), bad);
+  if (!bad) acceptor_.listen(kListenBacklog, bad);
+  return bad;
+}
+
 void HandoverListener::accept() {
-  acceptor_.async_accept([this](error_code bad, Local::socket socket) {
+  acceptor_.async_accept([this](error_code bad, LocalProtocol::socket socket) {
     if (bad == net::error::operation_aborted) return;
-    if (bad) {
-      pause_.expires_after(kAcceptPause);
-      return pause_.async_wait([this](error_code stopped) {
-        if (!stopped) accept();
-      });
-    }
-    // One at a time: the next one is heard once this one is through.
-    const auto asking = std::make_shared<Asking>(io_, std::move(socket));
-    asking->timer.expires_after(kHelloTime);
-    asking->timer.async_wait([asking](error_code stopped) {
-      error_code ignored;
-      if (!stopped) asking->socket.close(ignored);
-    });
-    net::async_read(asking->socket, net::buffer(asking->hello),
-                    [this, asking](error_code broken, std::size_t) {
-                      asking->timer.cancel();
-                      if (!broken && asking->hello == BinaryWriter().text(kHello).payload()) {
-                        error_code ignored;
-                        asking->socket.native_non_blocking(false, ignored);
-                        const int fd = asking->socket.release(ignored);
-                        if (!ignored) asked_(HandoverChannel(FileDescriptor(fd)));
-                      }
-                      accept();
-                    });
+    if (bad)
+      accept_later();
+    else
+      read_greeting(std::move(socket));
+  });
+}
+
+void HandoverListener::accept_later() {
+  accept_timer_.expires_after(kAcceptRetryInterval);
+  accept_timer_.async_wait([this](error_code stopped) {
+    if (!stopped) accept();
   });
 }
 
+// One at a time: the next one is accepted once this one is through.
+void HandoverListener::read_greeting(LocalProtocol::socket socket) {
+  const auto request = std::make_shared<PendingRequest>(io_, std::move(socket));
+  request->timer.expires_after(kGreetingTimeout);
+  request->timer.async_wait([request](error_code stopped) {
+    error_code ignored;
+    if (!stopped) request->socket.close(ignored);
+  });
+  net::async_read(request->socket, net::buffer(request->received),
+                  [this, request](error_code bad, std::size_t) {
+                    request->timer.cancel();
+                    if (!bad && request->received == request->expected) finish(*request);
+                    accept();
+                  });
+}
+
+void HandoverListener::finish(PendingRequest& request) {
+  error_code bad;
+  request.socket.native_non_blocking(false, bad);
+  FileDescriptor socket(request.socket.release(bad));
+  if (!bad) on_request_(HandoverChannel(std::move(socket)));
+}
+
 }  // namespace message_relay
--- a/relay/handover.hpp
+++ b/relay/handover.hpp
@@ -1,10 +1,10 @@
-// Who owns the folder that lasts, and how a process hands over to the one started next to it.
+// Who owns the state folder, and how a process hands over to the one started next to it.
 //
 // The owner holds a lock on a file in the folder. A process that finds it taken asks the owner, by a Unix
-// socket in the folder, and gets everything as it stands: "hello" (new), the parts (old), "ready" (new),
-// "yours" (old), "taken" (new). Until it has said "taken" the new process writes nothing and talks to nobody;
-// the owner that does not hear it goes on as if nothing had been, since it consumed nothing meanwhile. Either
-// may die at any instant.
+// socket in the folder, and gets everything as it stands: "hello" (new), the records (old), "ready" (new),
+// "yours" (old), "taken" (new). Until it has sent "taken" the new process writes nothing and talks to nobody;
+// the owner that does not receive it goes on as if nothing had been, since it consumed nothing meanwhile.
+// Either may die at any instant.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -14,87 +14,52 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <utility>
-#include <vector>
 
-#include "clock.hpp"
-#include "delivery_client.hpp"
-#include "endpoint_list.hpp"
-#include "ingress_server.hpp"
+#include "file_descriptor.hpp"
+#include "handover_channel.hpp"
+#include "handover_state.hpp"
 
 namespace message_relay {
 
-// A file descriptor with its owner.
-class FileDescriptor {
- public:
-  explicit FileDescriptor(int fd = -1) : fd_(fd) {}
-  FileDescriptor(FileDescriptor&& other) noexcept : fd_(other.release()) {}
-  FileDescriptor& operator=(FileDescriptor&& other) noexcept;
-  ~FileDescriptor();
-  int get() const { return fd_; }
-  int release() { return std::exchange(fd_, -1); }
-  explicit operator bool() const { return fd_ >= 0; }
-
- private:
-  int fd_;
-};
-
-// Frames over a Unix socket, blocking; a descriptor may go along with each.
-class HandoverChannel {
- public:
-  explicit HandoverChannel(FileDescriptor socket) : socket_(std::move(socket)) {}
-  void set_timeout(std::chrono::milliseconds each);  // for each read and write; 0: none
-  bool send(const std::string& payload, int fd = -1);
-  bool receive(std::string& payload, FileDescriptor& fd);
-  bool receive_word(const std::string& word);
-
- private:
-  bool read(char* bytes, std::size_t size, FileDescriptor* fd);
-  FileDescriptor socket_;
-};
-
-// What passes from one process to the next, besides the journal in the folder.
-struct HandoverState {
-  EndpointList endpoint_list;  // with its version
-  bool list_received = false, paused = false;
-  MessageId next_number = 1;  // calls out may still carry an earlier one, though its message is over
-  std::string learned_state;  // by the module
-  std::vector<std::string> ever_listed;
-  std::vector<std::int64_t> destinations;
-  std::vector<std::pair<Time, std::string>> completed_ids;  // ids of messages that are over
-  std::vector<IdleClient> clients;  // those are descriptors of the process that holds the estate
-  std::vector<InFlightCall> calls;
-  int listener = -1;
-};
-
-// What a process starts with: the lock of the folder, and an estate where it took over from another process.
+// What a process starts with: the lock of the folder, and the state where it took over from another process.
 struct StartupOwnership {
   FileDescriptor lock;
   std::optional<HandoverState> inherited;
 };
 
-// Blocks until this process owns the folder: at once where nobody does. Throws std::system_error.
-StartupOwnership acquire_ownership(const std::string& folder);
+// Blocks until this process owns the folder: at once where nobody does. Throws std::system_error where the
+// lock can't be opened or asked for.
+[[nodiscard]] StartupOwnership acquire_ownership(const std::string& folder);
 
-// Hands over through the channel; true once the other process owns all. What is held up for it is the
-// caller's whole loop, for kMostHeldUp at most before the other process can have taken over.
-bool hand_over(HandoverChannel& channel, const HandoverState& estate, int lock);
+// Hands over through the channel; true once the other process owns all. It blocks the caller's whole loop,
+// for 500 ms a read or write at most before the other process can have taken over. `lock` is the descriptor
+// of the folder's lock; it and those in `state` stay the caller's.
+[[nodiscard]] bool hand_over(HandoverChannel& channel, const HandoverState& state, int lock);
 
-// The owner's side: waits for a process that asks.
+// The owner's side: waits for a process that asks to take over.
 class HandoverListener {
  public:
-  using Asked = std::function<void(HandoverChannel)>;
-  HandoverListener(boost::asio::io_context& io, const std::string& folder, Asked asked);
+  using RequestHandler = std::function<void(HandoverChannel)>;
+
+  // Where the socket can't be had, a line in the log says so and no process can take over.
+  HandoverListener(boost::asio::io_context& io, const std::string& folder, RequestHandler on_request);
+  HandoverListener(const HandoverListener&) = delete;
+  HandoverListener& operator=(const HandoverListener&) = delete;
   ~HandoverListener();
 
  private:
-  struct Asking;
+  struct PendingRequest;
+
+  [[nodiscard]] boost::system::error_code listen(const std::string& path);
   void accept();
+  void accept_later();
+  void read_greeting(boost::asio::local::stream_protocol::socket socket);
+  void finish(PendingRequest& request);
 
   boost::asio::io_context& io_;
   boost::asio::local::stream_protocol::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
-  Asked asked_;
+  boost::asio::steady_timer accept_timer_;
+  RequestHandler on_request_;
 };
 
 }  // namespace message_relay
--- /dev/null
+++ b/relay/handover_channel.cpp
@@ -0,0 +1,108 @@
+#include "handover_channel.hpp"
+
+#include <sys/socket.h>
+#include <sys/time.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "binary_format.hpp"
+
+namespace message_relay {
+
+namespace {
+
+constexpr std::uint32_t kMaxFrameBytes = 64U << 20U;
+
+// Holds the one descriptor that goes along with a frame.
+struct ControlBuffer {
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> bytes{};
+};
+
+void set_socket_timeout(int socket, int option, std::chrono::milliseconds timeout) {
+  const timeval time{static_cast<time_t>(timeout.count() / 1000),
+                     static_cast<suseconds_t>(timeout.count() % 1000 * 1000)};
+  ::setsockopt(socket, SOL_SOCKET, option, &time, sizeof time);
+}
+
+void attach_descriptor(msghdr& message, ControlBuffer& control, int fd) {
+  message.msg_control = control.bytes.data();
+  message.msg_controllen = control.bytes.size();
+  cmsghdr* header = CMSG_FIRSTHDR(&message);
+  header->cmsg_level = SOL_SOCKET;
+  header->cmsg_type = SCM_RIGHTS;
+  header->cmsg_len = CMSG_LEN(sizeof fd);
+  std::memcpy(CMSG_DATA(header), &fd, sizeof fd);
+}
+
+// The descriptor that came along with a message, if any; of several the last.
+FileDescriptor received_descriptor(msghdr& message) {
+  FileDescriptor received;
+  for (cmsghdr* header = CMSG_FIRSTHDR(&message); header != nullptr; header = CMSG_NXTHDR(&message, header)) {
+    if (header->cmsg_level != SOL_SOCKET || header->cmsg_type != SCM_RIGHTS) continue;
+    int fd = -1;
+    std::memcpy(&fd, CMSG_DATA(header), sizeof fd);
+    received = FileDescriptor(fd);
+  }
+  return received;
+}
+
+}  // namespace
+
+void HandoverChannel::set_timeout(std::chrono::milliseconds timeout) {
+  set_socket_timeout(socket_.get(), SO_RCVTIMEO, timeout);
+  set_socket_timeout(socket_.get(), SO_SNDTIMEO, timeout);
+}
+
+bool HandoverChannel::send(const std::string& payload, int fd) {
+  const std::string frame = BinaryWriter().text(payload).payload();
+  ControlBuffer control;
+  for (std::size_t sent = 0; sent < frame.size();) {
+    iovec remaining{const_cast<char*>(frame.data() + sent), frame.size() - sent};
+    msghdr message{};
+    message.msg_iov = &remaining;
+    message.msg_iovlen = 1;
+    if (fd >= 0 && sent == 0) attach_descriptor(message, control, fd);
+    const auto size = ::sendmsg(socket_.get(), &message, MSG_NOSIGNAL);
+    if (size < 0 && errno == EINTR) continue;
+    if (size <= 0) return false;
+    sent += static_cast<std::size_t>(size);
+  }
+  return true;
+}
+
+bool HandoverChannel::read(char* bytes, std::size_t size, FileDescriptor* fd) {
+  ControlBuffer control;
+  for (std::size_t done = 0; done < size;) {
+    iovec remaining{bytes + done, size - done};
+    msghdr message{};
+    message.msg_iov = &remaining;
+    message.msg_iovlen = 1;
+    message.msg_control = control.bytes.data();
+    message.msg_controllen = control.bytes.size();
+    const auto received = ::recvmsg(socket_.get(), &message, MSG_CMSG_CLOEXEC);
+    if (received < 0 && errno == EINTR) continue;
+    if (received <= 0) return false;
+    FileDescriptor came_along = received_descriptor(message);
+    if (came_along && fd != nullptr) *fd = std::move(came_along);
+    done += static_cast<std::size_t>(received);
+  }
+  return true;
+}
+
+bool HandoverChannel::receive(std::string& payload, FileDescriptor& fd) {
+  std::uint32_t size = 0;
+  if (!read(reinterpret_cast<char*>(&size), sizeof size, &fd) || size > kMaxFrameBytes) return false;
+  payload.resize(size);
+  return read(payload.data(), size, nullptr);
+}
+
+bool HandoverChannel::receive_word(const std::string& word) {
+  std::string payload;
+  FileDescriptor unused;
+  return receive(payload, unused) && payload == word;
+}
+
+}  // namespace message_relay
--- /dev/null
+++ b/relay/handover_state.cpp
@@ -0,0 +1,162 @@
+#include "handover_state.hpp"
+
+#include <optional>
+
+namespace message_relay {
+
+namespace {
+
+const std::string kFieldPath = "handover";  // names the source of a malformed address
+
+BinaryWriter begin_record(HandoverRecordTag tag) {
+  BinaryWriter record;
+  record.number(tag);
+  return record;
+}
+
+// A count goes ahead of the elements of a list.
+template <class List>
+void write_count(BinaryWriter& out, const List& list) {
+  out.number(static_cast<std::uint32_t>(list.size()));
+}
+
+template <class ReadElement>
+void read_list(BinaryReader& in, ReadElement read_element) {
+  for (auto remaining = in.number<std::uint32_t>(); remaining > 0; remaining--) read_element();
+}
+
+void write_listed_endpoint(BinaryWriter& out, const ListedEndpoint& listed) {
+  const dispatch::Endpoint& endpoint = listed.endpoint;
+  out.text(endpoint.id)
+      .number(endpoint.destination)
+      .number(endpoint.zone)
+      .number(endpoint.kind)
+      .number(endpoint.status)
+      .number(endpoint.weight)
+      .number(endpoint.added_at)
+      .text(format_address(listed.address));
+}
+
+ListedEndpoint read_listed_endpoint(BinaryReader& in) {
+  ListedEndpoint listed;
+  dispatch::Endpoint& endpoint = listed.endpoint;
+  endpoint.id = in.text();
+  endpoint.destination = in.number<std::int64_t>();
+  endpoint.zone = in.number<int>();
+  endpoint.kind = in.number<int>();
+  endpoint.status = in.number<dispatch::EndpointStatus>();
+  endpoint.weight = in.number<double>();
+  endpoint.added_at = in.number<Time>();
+  listed.address = read_address(in.text(), kFieldPath);
+  return listed;
+}
+
+// Of messages in flight only what ends them is sent: their bodies are in the journal.
+void write_message(BinaryWriter& out, const OutgoingMessage& message) {
+  out.number(message.id).number(message.attempt).number(message.timeout).text(message.client_id);
+}
+
+OutgoingMessage read_message(BinaryReader& in) {
+  OutgoingMessage message;
+  message.id = in.number<MessageId>();
+  message.attempt = in.number<int>();
+  message.timeout = in.number<Time>();
+  message.client_id = in.text();
+  return message;
+}
+
+// An outcome follows the flag in any case, so that all have one size.
+void write_given_up(BinaryWriter& out, const std::optional<Outcome>& given_up) {
+  out.number(given_up.has_value()).number(given_up.value_or(Outcome::timeout));
+}
+
+std::optional<Outcome> read_given_up(BinaryReader& in) {
+  const bool given_up = in.number<bool>();
+  const auto outcome = in.number<Outcome>();
+  return given_up ? std::optional(outcome) : std::nullopt;
+}
+
+}  // namespace
+
+std::string encode_tag(HandoverRecordTag tag) { return begin_record(tag).payload(); }
+
+HandoverRecordTag decode_tag(BinaryReader& in) { return in.number<HandoverRecordTag>(); }
+
+std::string encode_state(const HandoverState& state) {
+  BinaryWriter record = begin_record(HandoverRecordTag::state);
+  record.number(state.endpoint_list.version)
+      .number(state.list_received)
+      .number(state.paused)
+      .number(state.next_number)
+      .text(state.learned_state);
+  write_count(record, state.endpoint_list.entries);
+  for (const ListedEndpoint& listed : state.endpoint_list.entries) write_listed_endpoint(record, listed);
+  write_count(record, state.ever_listed);
+  for (const std::string& id : state.ever_listed) record.text(id);
+  write_count(record, state.destinations);
+  for (const std::int64_t destination : state.destinations) record.number(destination);
+  write_count(record, state.completed_ids);
+  for (const auto& [until, id] : state.completed_ids) record.number(until).text(id);
+  return record.payload();
+}
+
+void decode_state(BinaryReader& in, HandoverState& state) {
+  state.endpoint_list.is_snapshot = true;
+  state.endpoint_list.version = in.number<std::int64_t>();
+  state.list_received = in.number<bool>();
+  state.paused = in.number<bool>();
+  state.next_number = in.number<MessageId>();
+  state.learned_state = in.text();
+  read_list(in, [&] { state.endpoint_list.entries.push_back(read_listed_endpoint(in)); });
+  read_list(in, [&] { state.ever_listed.push_back(in.text()); });
+  read_list(in, [&] { state.destinations.push_back(in.number<std::int64_t>()); });
+  read_list(in, [&] {
+    const auto until = in.number<Time>();
+    state.completed_ids.emplace_back(until, in.text());
+  });
+}
+
+std::string encode_client(const IdleClient& client) {
+  return begin_record(HandoverRecordTag::client)
+      .number(client.served_before)
+      .number(client.idle_since)
+      .payload();
+}
+
+IdleClient decode_client(BinaryReader& in) {
+  IdleClient client;
+  client.served_before = in.number<bool>();
+  client.idle_since = in.number<Time>();
+  return client;
+}
+
+std::string encode_call(const InFlightCall& call) {
+  BinaryWriter record = begin_record(HandoverRecordTag::call);
+  record.text(call.endpoint)
+      .text(format_address(call.address))
+      .number(call.sent_at)
+      .number(call.response_due)
+      .text(call.response_bytes);
+  write_count(record, call.messages);
+  for (std::size_t i = 0; i < call.messages.size(); i++) {
+    write_message(record, call.messages[i]);
+    write_given_up(record, call.given_up[i]);
+  }
+  return record.payload();
+}
+
+InFlightCall decode_call(BinaryReader& in) {
+  InFlightCall call;
+  call.endpoint = in.text();
+  call.address = read_address(in.text(), kFieldPath);
+  call.sent_at = in.number<Time>();
+  call.response_due = in.number<Time>();
+  call.response_bytes = in.text();
+  read_list(in, [&] {
+    call.messages.push_back(read_message(in));
+    call.given_up.push_back(read_given_up(in));
+  });
+  return call;
+}
+
+}  // namespace message_relay
