Split the operators' server and main into short functions

Cause: verbs were a map of pairs of an enum and a bool, sessions chained steps in nested lambdas, main held every step. Change: a table of verbs with the argument that each takes; a session with one function a step; main with one function for each signal. Commands, replies and timeouts are unchanged.

--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,11 +1,14 @@
-// message_relay: one relay on real sockets. LB_CONFIG names its configuration, LB_STATE the folder that
-// lasts. SIGTERM and SIGINT drain and end it, SIGHUP has the configuration read again. Started next to one
-// that runs on the same folder, it takes over from it.
+// message_relay: one relay on real sockets.
+//
+// LB_CONFIG names its configuration, LB_STATE the folder that keeps its state. SIGTERM and SIGINT shut it
+// down gracefully, SIGHUP has the configuration reloaded. Started next to one that runs on the same folder,
+// it takes over from it. The exit status is 0 after a shutdown or a handover, 1 where it can't start.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <exception>
-#include <functional>
+#include <string>
 
 #include "config.hpp"
 #include "handover.hpp"
@@ -14,8 +17,12 @@
 
 namespace {
 
+using boost::asio::signal_set;
+using boost::system::error_code;
+using message_relay::Relay;
+
 // A file that can't be read changes nothing.
-void reload(message_relay::Relay& relay) {
+void reload_configuration(Relay& relay) {
   try {
     relay.reconfigure(message_relay::load_config());
   } catch (const std::exception& e) {
@@ -23,33 +30,43 @@
   }
 }
 
+void reload_on_signal(signal_set& signals, Relay& relay) {
+  signals.async_wait([&signals, &relay](error_code bad, int) {
+    if (bad) return;
+    reload_configuration(relay);
+    reload_on_signal(signals, relay);
+  });
+}
+
+void stop_on_signal(signal_set& signals, Relay& relay, boost::asio::io_context& io) {
+  signals.async_wait([&relay, &io](error_code bad, int) {
+    if (!bad) relay.stop([&io] { io.stop(); });
+  });
+}
+
+void run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context io(1);
+  const message_relay::Config config = message_relay::load_config();
+  // While another process still owns the folder, a signal ends this one, which owes nothing yet.
+  message_relay::StartupOwnership ownership = message_relay::acquire_ownership(config.state_folder);
+  // Before anything slow: a signal that comes while the journal is read waits for the event loop.
+  signal_set stop_signals(io, SIGTERM, SIGINT);
+  signal_set reload_signals(io, SIGHUP);
+  Relay relay(io, config, std::move(ownership));
+  stop_on_signal(stop_signals, relay, io);
+  reload_on_signal(reload_signals, relay);
+  io.run();
+}
+
 }  // namespace
 
 int main() {
   try {
-    std::signal(SIGPIPE, SIG_IGN);
-    boost::asio::io_context io(1);
-    const message_relay::Config config = message_relay::load_config();
-    // While another process still owns the folder, a signal ends this one, which owes nothing yet.
-    message_relay::StartupOwnership possession = message_relay::acquire_ownership(config.state_folder);
-    // Before anything slow: a signal that comes while the journal is read waits for the loop.
-    boost::asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
-    message_relay::Relay relay(io, config, std::move(possession));
-    ends.async_wait([&](boost::system::error_code bad, int) {
-      if (!bad) relay.stop([&io] { io.stop(); });
-    });
-    const std::function<void()> await_reload = [&] {
-      reloads.async_wait([&](boost::system::error_code bad, int) {
-        if (bad) return;
-        reload(relay);
-        await_reload();
-      });
-    };
-    await_reload();
-    io.run();
-    return 0;
+    run();
+    return EXIT_SUCCESS;
   } catch (const std::exception& e) {
     message_relay::log(std::string("message_relay: ") + e.what());
-    return 1;
+    return EXIT_FAILURE;
   }
 }
--- a/relay/operator_server.hpp
+++ b/relay/operator_server.hpp
@@ -1,4 +1,4 @@
-// The operators' entry: each connection brings one line, a call, and gets its reply. Holds no state of the
+// The operators' entry: each connection sends one line, a command, and gets its reply. Holds no state of the
 // relay.
 #pragma once
 
@@ -16,38 +16,45 @@
 
 struct OperatorCommand {
   OperatorVerb verb = OperatorVerb::status;
-  std::string endpoint;  // of an endpoint, where the call names one
+  std::string endpoint;  // the id, where the verb takes one
 };
 
-// What a line asks for; else why it can't be understood.
 struct ParsedCommand {
   OperatorCommand command;
-  std::string problem;  // empty: none
+  std::string problem;  // why the line is not understood; empty: it is
 };
-ParsedCommand parse_command(std::string line);
+
+// `line` comes without its line feed; a carriage return at its end is ignored.
+[[nodiscard]] ParsedCommand parse_command(std::string line);
 
 class OperatorServer {
  public:
-  // The whole reply to a call, each line with its end.
+  // The whole reply to a command, each line with its end.
   using Handler = std::function<std::string(const OperatorCommand&)>;
 
-  // For `most` callers at a time; listens as soon as the address can be had. Guards against a relay that does
-  // not start, or not take over, for want of its operators' address.
-  OperatorServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address, std::size_t most,
-                 Handler handler);
+  // Serves up to `max_sessions` callers at a time. Listens as soon as the address can be had: a relay must
+  // not fail to start, or to take over, for want of its operators' address.
+  OperatorServer(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+                 std::size_t max_sessions, Handler handler);
+  OperatorServer(const OperatorServer&) = delete;
+  OperatorServer& operator=(const OperatorServer&) = delete;
   ~OperatorServer();
 
  private:
   class Session;
+
   void listen();
+  [[nodiscard]] boost::system::error_code open_acceptor();
   void accept();
-  void make_room();
+  void accept_later();
+  void begin_session(boost::asio::ip::tcp::socket socket);
+  void close_one_if_full();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::endpoint address_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
-  std::size_t most_;
+  boost::asio::steady_timer retry_timer_;
+  std::size_t max_sessions_;
   Handler handler_;
   std::list<std::shared_ptr<Session>> sessions_;  // oldest first
 };
