Read the configuration by section

Cause: read_config() was one function of 60 lines. Change: a function for each section: limits, gossip, the dispatcher's settings. Keys, checks and texts of errors are unchanged.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -16,95 +16,147 @@
 
 namespace {
 
+const std::string kRoot = "config";  // begins the path of each field in an error's text
+
 // Descriptors that are no connections of clients or to endpoints: standard streams, the event loop, signals,
-// the journal's files, discovery, datagrams, the one that listens; one that is turned away.
-constexpr std::size_t kOtherFiles = 24;
-// Of every so many descriptors one is for an operator, up to so many; and one more that listens for them.
-constexpr std::size_t kOperatorPart = 16, kMostOperators = 16;
+// the journal's files, discovery, gossip, the listening socket; one of a client that is rejected.
+constexpr std::size_t kOtherDescriptors = 24;
+constexpr int kMinDescriptors = 64;
+// One of this many descriptors is for an operator, up to the maximum; one more listens for them.
+constexpr std::size_t kDescriptorsPerOperator = 16;
+constexpr std::size_t kMaxOperatorConnections = 16;
+// Of 10^6 bytes, the smaller of the two readings.
+constexpr double kBytesPerMegabyte = 1e6;
+constexpr int kHexadecimal = 16;
+
+using TcpEndpoint = boost::asio::ip::tcp::endpoint;
+using UdpEndpoint = boost::asio::ip::udp::endpoint;
+
+rapidjson::Document parse_json(const std::string& json) {
+  rapidjson::Document document;
+  document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
+  if (document.HasParseError()) {
+    const std::string problem = rapidjson::GetParseError_En(document.GetParseError());
+    const std::string position = " at byte " + std::to_string(document.GetErrorOffset());
+    throw_field_error(kRoot, (problem + position).c_str());
+  }
+  as_object(document, kRoot);
+  return document;
+}
+
+TcpEndpoint as_tcp_endpoint(const JsonValue& value, const std::string& path) {
+  return read_address(as_string(value, path), path);
+}
 
-boost::asio::ip::udp::endpoint udp(const std::string& text, const std::string& path) {
-  const auto address = read_address(text, path);
+UdpEndpoint as_udp_endpoint(const JsonValue& value, const std::string& path) {
+  const TcpEndpoint address = as_tcp_endpoint(value, path);
   return {address.address(), address.port()};
 }
 
-std::string environment(const char* name) {
+template <class Read>
+auto read_optional(const JsonValue& object, const char* name, Read read)
+    -> std::optional<decltype(read(object, kRoot))> {
+  const JsonValue* value = find_member(object, name);
+  if (value == nullptr) return std::nullopt;
+  return read(*value, kRoot + "." + name);
+}
+
+std::uint64_t as_megabytes(const JsonValue& value, const std::string& path) {
+  const double megabytes = as_double(value, path);
+  if (!(megabytes > 0 && megabytes < 1e9)) throw_field_error(path, "must be above 0");
+  return static_cast<std::uint64_t>(megabytes * kBytesPerMegabyte);
+}
+
+std::uint64_t as_seed(const JsonValue& value, const std::string& path) {
+  const std::string text = as_string(value, path);
+  std::uint64_t seed = 0;
+  const char* text_end = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), text_end, seed, kHexadecimal);
+  if (error != std::errc() || end != text_end) throw_field_error(path, "must be 64 bits in hexadecimal");
+  return seed;
+}
+
+// Shares the descriptors out among clients, endpoints and operators.
+void share_out_descriptors(std::size_t descriptors, Config& config) {
+  std::size_t others = kOtherDescriptors;
+  if (config.operators) {
+    config.operator_connections = std::min(descriptors / kDescriptorsPerOperator, kMaxOperatorConnections);
+    others += config.operator_connections + 1;
+  }
+  config.client_connections = (descriptors - others) / 2;
+  config.endpoint_connections = descriptors - others - config.client_connections;
+}
+
+void read_limits(const JsonValue& root, Config& config) {
+  const std::string path = kRoot + ".limits";
+  const JsonValue& limits = as_object(required_member(root, "limits", kRoot), path);
+  const int descriptors = read_member(limits, "sockets", path, as_int);
+  if (descriptors < kMinDescriptors) throw_field_error(path + ".sockets", "must be 64 or more");
+  config.operators = read_optional(root, "operator", as_tcp_endpoint);
+  share_out_descriptors(static_cast<std::size_t>(descriptors), config);
+  config.memory_bytes = read_member(limits, "memory_mb", path, as_megabytes);
+  config.disk_bytes = read_member(limits, "disk_mb", path, as_megabytes);
+}
+
+void read_gossip(const JsonValue& root, Config& config) {
+  config.peer_listen = read_optional(root, "peer_listen", as_udp_endpoint);
+  config.peers_all = read_optional(root, "peers_all", as_udp_endpoint);
+  const JsonValue* peers = find_member(root, "peers");
+  if (peers == nullptr) return;
+  const std::string path = kRoot + ".peers";
+  for (const JsonValue& peer : as_array(*peers, path).GetArray())
+    config.peers.push_back(as_udp_endpoint(peer, path));
+}
+
+// The dispatcher's settings, fitted to what this relay has: sockets and descriptors.
+void read_dispatcher_settings(const JsonValue& root, Config& config) {
+  const std::string path = kRoot + ".settings";
+  const JsonValue& value = required_member(root, "settings", kRoot);
+  dispatch::Settings& settings = config.settings;
+  settings = read_settings(value, path, config.setting_names);
+  dispatch::validate(settings);
+  // On sockets nothing comes unasked: also where the settings say that changes of the list do, they come by a
+  // watch, which is to be opened, and opened again once it ends.
+  settings.list_is_pushed = !settings.subscribes_to_list;
+  settings.subscribes_to_list = true;
+  // Each call in flight needs a descriptor.
+  settings.max_calls_in_flight =
+      std::min(settings.max_calls_in_flight, static_cast<int>(config.endpoint_connections));
+  if (const JsonValue* report = find_member(value, "Report"))
+    config.load_reports_in_responses =
+        read_member(*report, "How", path + ".Report", as_string, "none") == "answers";
+}
+
+std::string environment_variable(const char* name) {
   const char* value = std::getenv(name);
   if (value == nullptr || *value == '\0') throw std::runtime_error(std::string(name) + ": not set");
   return value;
 }
 
-std::uint64_t whole_above_zero(const JsonValue& v, const std::string& path) {
-  const double number = as_double(v, path);
-  if (!(number > 0 && number < 1e9)) throw_field_error(path, "must be above 0");
-  return static_cast<std::uint64_t>(number * 1e6);
-}
-
 }  // namespace
 
 Config read_config(const std::string& json) {
-  rapidjson::Document v;
-  v.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
-  if (v.HasParseError())
-    throw_field_error("config", (std::string(rapidjson::GetParseError_En(v.GetParseError())) + " at byte " +
-                                 std::to_string(v.GetErrorOffset()))
-                                    .c_str());
-  const std::string path = "config";
-  as_object(v, path);
-  Config c;
-  c.name = read_member(v, "name", path, as_string);
-  c.listen = read_address(read_member(v, "listen", path, as_string), path + ".listen");
-  c.discovery = read_address(read_member(v, "discovery", path, as_string), path + ".discovery");
-  const std::string seed = read_member(v, "seed", path, as_string);
-  const auto [end, error] = std::from_chars(seed.data(), seed.data() + seed.size(), c.seed, 16);
-  if (error != std::errc() || end != seed.data() + seed.size())
-    throw_field_error(path + ".seed", "must be 64 bits in hexadecimal");
-  const JsonValue& limits = as_object(required_member(v, "limits", path), path + ".limits");
-  const int sockets = read_member(limits, "sockets", path + ".limits", as_int);
-  if (sockets < 64) throw_field_error(path + ".limits.sockets", "must be 64 or more");
-  const auto files = static_cast<std::size_t>(sockets);
-  std::size_t others = kOtherFiles;
-  if (const JsonValue* o = find_member(v, "operator")) {
-    c.operators = read_address(as_string(*o, path + ".operator"), path + ".operator");
-    c.operator_connections = std::min(files / kOperatorPart, kMostOperators);
-    others += c.operator_connections + 1;
-  }
-  c.client_connections = (files - others) / 2;
-  c.endpoint_connections = files - others - c.client_connections;
-  c.memory_bytes = read_member(limits, "memory_mb", path + ".limits", whole_above_zero);
-  // Taken as 10^6 bytes, the smaller of the two readings of a megabyte.
-  c.disk_bytes = read_member(limits, "disk_mb", path + ".limits", whole_above_zero);
-  if (const JsonValue* p = find_member(v, "peer_listen"))
-    c.peer_listen = udp(as_string(*p, path + ".peer_listen"), path + ".peer_listen");
-  if (const JsonValue* p = find_member(v, "peers_all"))
-    c.peers_all = udp(as_string(*p, path + ".peers_all"), path + ".peers_all");
-  if (const JsonValue* peers = find_member(v, "peers"))
-    for (const auto& p : as_array(*peers, path + ".peers").GetArray())
-      c.peers.push_back(udp(as_string(p, path + ".peers"), path + ".peers"));
-  const JsonValue& settings = required_member(v, "settings", path);
-  c.settings = read_settings(settings, path + ".settings", c.setting_names);
-  dispatch::validate(c.settings);
-  // On sockets nothing comes unasked: also where the settings say that changes do, they come by a watch,
-  // which is to be opened, and opened again once it ends.
-  c.settings.list_is_pushed = !c.settings.subscribes_to_list;
-  c.settings.subscribes_to_list = true;
-  // However many calls may be out, each needs a descriptor.
-  c.settings.max_calls_in_flight =
-      std::min(c.settings.max_calls_in_flight, static_cast<int>(c.endpoint_connections));
-  if (const JsonValue* report = find_member(settings, "Report"))
-    c.load_reports_in_responses =
-        read_member(*report, "How", path + ".settings.Report", as_string, "none") == "answers";
-  if (const JsonValue* known = find_member(v, "known"))
-    c.cached_list = read_endpoint_list(*known, path + ".known", c.setting_names);
-  return c;
+  const rapidjson::Document root = parse_json(json);
+  Config config;
+  config.name = read_member(root, "name", kRoot, as_string);
+  config.listen = read_member(root, "listen", kRoot, as_tcp_endpoint);
+  config.discovery = read_member(root, "discovery", kRoot, as_tcp_endpoint);
+  config.seed = read_member(root, "seed", kRoot, as_seed);
+  read_limits(root, config);
+  read_gossip(root, config);
+  read_dispatcher_settings(root, config);
+  if (const JsonValue* known = find_member(root, "known"))
+    config.cached_list = read_endpoint_list(*known, kRoot + ".known", config.setting_names);
+  return config;
 }
 
 Config load_config() {
-  const std::string file = environment("LB_CONFIG");
+  const std::string file = environment_variable("LB_CONFIG");
   std::ifstream in(file, std::ios::binary);
   if (!in) throw std::runtime_error("LB_CONFIG: can't read " + file);
-  Config c = read_config({std::istreambuf_iterator<char>(in), {}});
-  c.state_folder = environment("LB_STATE");
-  return c;
+  Config config = read_config({std::istreambuf_iterator<char>(in), {}});
+  config.state_folder = environment_variable("LB_STATE");
+  return config;
 }
 
 }  // namespace message_relay
