Read the dispatcher's settings by section

Cause: read_settings() was one function of 80 lines. Change: a function for each section: classes, tenants, kinds, family, limits, rules, the relay itself; kUnknownName in place of -1.

--- a/configuration/settings_reader.cpp
+++ b/configuration/settings_reader.cpp
@@ -7,127 +7,172 @@
 using dispatch::ClassSettings;
 using dispatch::Idempotency;
 using dispatch::KeyScope;
+using dispatch::KindSettings;
 using dispatch::Settings;
 using dispatch::ValueDecay;
 using dispatch::WeightKind;
 
 namespace {
 
-NameIndex names_of(const JsonValue& object, const char* name, const std::string& path) {
+// A list of names, with the position of each.
+NameIndex read_names(const JsonValue& object, const char* name, const std::string& path) {
   NameIndex names;
   const JsonValue* list = find_member(object, name);
   if (list == nullptr) return names;
-  for (const auto& v : as_array(*list, path + "." + name).GetArray())
-    names.emplace(as_string(v, path + "." + name), static_cast<int>(names.size()));
+  const std::string list_path = path + "." + name;
+  for (const JsonValue& element : as_array(*list, list_path).GetArray())
+    names.emplace(as_string(element, list_path), static_cast<int>(names.size()));
   return names;
 }
-ClassSettings read_class(const JsonValue& v, const std::string& path) {
-  ClassSettings c;
-  c.priority_weight = read_member(v, "Points", path, as_double);
-  c.late_weight_fraction = read_member(v, "LateWorth", path, as_double, 0.0);
-  c.latency_objective = read_member(v, "Target", path, as_integer);
-  c.deadline = read_member(v, "Deadline", path, as_integer);
-  c.idempotency = parse_enum<Idempotency>(read_member(v, "Idempotency", path, as_string),
-                                          {{"read_like", Idempotency::idempotent},
-                                           {"idempotency_key", Idempotency::by_key},
-                                           {"non_idempotent", Idempotency::none}},
-                                          path + ".Idempotency");
-  c.key_scope = parse_enum<KeyScope>(
-      read_member(v, "Group", path, as_string, "all"),
+
+// A list with one value for each kind, or nullptr.
+const JsonValue* find_list(const JsonValue& object, const char* name, const std::string& path) {
+  const JsonValue* list = find_member(object, name);
+  return list == nullptr ? nullptr : &as_array(*list, path + "." + name);
+}
+
+// An object that must be there.
+const JsonValue& read_section(const JsonValue& settings, const char* name, const std::string& path) {
+  return as_object(required_member(settings, name, path), path + "." + name);
+}
+
+ClassSettings read_class(const JsonValue& value, const std::string& path) {
+  ClassSettings settings;
+  settings.priority_weight = read_member(value, "Points", path, as_double);
+  settings.late_weight_fraction = read_member(value, "LateWorth", path, as_double, 0.0);
+  settings.latency_objective = read_member(value, "Target", path, as_integer);
+  settings.deadline = read_member(value, "Deadline", path, as_integer);
+  settings.idempotency = parse_enum<Idempotency>(read_member(value, "Idempotency", path, as_string),
+                                                 {{"read_like", Idempotency::idempotent},
+                                                  {"idempotency_key", Idempotency::by_key},
+                                                  {"non_idempotent", Idempotency::none}},
+                                                 path + ".Idempotency");
+  settings.key_scope = parse_enum<KeyScope>(
+      read_member(value, "Group", path, as_string, "all"),
       {{"all", KeyScope::all}, {"zone", KeyScope::zone}, {"cell", KeyScope::cell}}, path + ".Group");
-  c.idempotency_window = read_member(v, "Window", path, as_integer, 0);
-  c.ordered = read_member(v, "FifoByKey", path, as_bool, false);
-  return c;
+  settings.idempotency_window = read_member(value, "Window", path, as_integer, 0);
+  settings.ordered = read_member(value, "FifoByKey", path, as_bool, false);
+  return settings;
+}
+
+void read_classes(const JsonValue& value, const std::string& path, Settings& settings, SettingNames& names) {
+  const std::string list_path = path + ".Classes";
+  for (const JsonValue& element : as_array(required_member(value, "Classes", path), list_path).GetArray()) {
+    as_object(element, list_path);
+    names.classes.emplace(read_member(element, "Name", list_path, as_string),
+                          static_cast<int>(settings.classes.size()));
+    settings.classes.push_back(read_class(element, list_path));
+  }
+}
+
+void read_tenants(const JsonValue& value, const std::string& path, Settings& settings, SettingNames& names) {
+  const JsonValue* tenants = find_list(value, "Tenants", path);
+  if (tenants == nullptr) return;
+  const std::string list_path = path + ".Tenants";
+  for (const JsonValue& element : tenants->GetArray()) {
+    as_object(element, list_path);
+    names.tenants.emplace(read_member(element, "Name", list_path, as_string),
+                          static_cast<int>(settings.tenants.size()));
+    settings.tenants.push_back({read_member(element, "QuotaPerS", list_path, as_double, 0.0)});
+  }
 }
 
-// A list with one value for each kind, or nothing.
-const JsonValue* per_kind(const JsonValue& family, const char* name, const std::string& path) {
-  const JsonValue* v = find_member(family, name);
-  return v == nullptr ? nullptr : &as_array(*v, path + "." + name);
+// Lists may be shorter than there are kinds.
+std::vector<KindSettings> read_kinds(const JsonValue& family, const std::string& path, std::size_t count) {
+  std::vector<KindSettings> kinds(std::max<std::size_t>(1, count));
+  const JsonValue* independent_routes = find_list(family, "RoutesApart", path);
+  const JsonValue* max_batch_sizes = find_list(family, "BundleMax", path);
+  for (rapidjson::SizeType i = 0; i < kinds.size(); i++) {
+    if (independent_routes != nullptr && i < independent_routes->Size())
+      kinds[i].independent_routes = as_bool((*independent_routes)[i], path + ".RoutesApart");
+    if (max_batch_sizes != nullptr && i < max_batch_sizes->Size())
+      kinds[i].max_batch_size = as_int((*max_batch_sizes)[i], path + ".BundleMax");
+  }
+  return kinds;
+}
+
+void read_family(const JsonValue& value, const std::string& parent_path, Settings& settings,
+                 const SettingNames& names) {
+  const std::string path = parent_path + ".FamilyInfo";
+  const JsonValue& family = read_section(value, "FamilyInfo", parent_path);
+  settings.kinds = read_kinds(family, path, names.kinds.size());
+  settings.max_calls_in_flight = read_member(family, "Workers", path, as_int);
+  settings.decay = parse_enum<ValueDecay>(read_member(family, "Decay", path, as_string, "line"),
+                                          {{"line", ValueDecay::linear}, {"halves", ValueDecay::exponential}},
+                                          path + ".Decay");
+  if (const JsonValue* costs = find_list(family, "Toll", path))
+    for (const JsonValue& cost : costs->GetArray())
+      settings.zone_costs.push_back(as_double(cost, path + ".Toll"));
+}
+
+void read_limits(const JsonValue& value, const std::string& parent_path, Settings& settings) {
+  const std::string path = parent_path + ".Limits";
+  const JsonValue& limits = read_section(value, "Limits", parent_path);
+  settings.max_open_messages = read_member(limits, "OpenCap", path, as_int);
+  settings.max_attempts = read_member(limits, "MaxAttempts", path, as_int);
+  settings.hedged_requests = read_member(limits, "SecondCopies", path, as_bool, false);
+  settings.cancellation = read_member(limits, "Cancelling", path, as_bool, false);
+  settings.health_checks = read_member(limits, "Probes", path, as_bool, false);
+  settings.gossip = read_member(limits, "Peers", path, as_bool, false);
+  settings.connect_timeout =
+      read_member(limits, "ConnectTimeout", path, as_integer, settings.connect_timeout);
+  settings.connection_idle_timeout =
+      read_member(limits, "ConnIdle", path, as_integer, settings.connection_idle_timeout);
+  settings.max_retry_after = read_member(limits, "MaxRetryAfter", path, as_integer, 0);
+}
+
+void read_rules(const JsonValue& value, const std::string& parent_path, Settings& settings) {
+  const std::string path = parent_path + ".Rules";
+  const JsonValue& rules = read_section(value, "Rules", parent_path);
+  settings.answer_slack = read_member(rules, "AnswerSlack", path, as_integer, 0);
+  settings.drain_grace = read_member(rules, "DrainGrace", path, as_integer, 0);
+  settings.max_poll_interval = read_member(rules, "MustAskIn", path, as_integer, 0);
+  settings.order_key_quiet_period = read_member(rules, "SettleAfterDoubt", path, as_integer, 0);
+  settings.overload_multiple =
+      read_member(rules, "FallMultiple", path, as_double, settings.overload_multiple);
+  settings.overload_duration =
+      read_member(rules, "OverloadFor", path, as_integer, settings.overload_duration);
+  settings.slow_start_capacity =
+      read_member(rules, "ColdFrom", path, as_double, settings.slow_start_capacity);
+  settings.slow_start_duration = read_member(rules, "Cold", path, as_integer, settings.slow_start_duration);
+}
+
+// What concerns this relay itself and its place among the others.
+void read_relay(const JsonValue& value, const std::string& path, Settings& settings,
+                const SettingNames& names) {
+  settings.over_quota_weight_fraction = read_member(value, "OverShareWorth", path, as_double, 1.0);
+  settings.relay_count = read_member(value, "GroupSize", path, as_int, 1);
+  settings.relay_index = read_member(value, "Rank", path, as_int, 0);
+  settings.zone = index_of(names.zones, read_member(value, "Locality", path, as_string, ""));
+  settings.min_round_interval = read_member(value, "Tick", path, as_integer, settings.min_round_interval);
+  settings.subscribes_to_list = read_member(value, "Discovery", path, as_string, "automatic") == "subscribe";
+  settings.weights = parse_enum<WeightKind>(read_member(value, "WeightKind", path, as_string, "none"),
+                                            {{"none", WeightKind::none},
+                                             {"nominal", WeightKind::nominal},
+                                             {"rough", WeightKind::rough},
+                                             {"live", WeightKind::none}},
+                                            path + ".WeightKind");
 }
 
 }  // namespace
 
 int index_of(const NameIndex& names, const std::string& name) {
   const auto it = names.find(name);
-  return it == names.end() ? -1 : it->second;
+  return it == names.end() ? kUnknownName : it->second;
 }
 
-Settings read_settings(const JsonValue& v, const std::string& path, SettingNames& tables) {
-  as_object(v, path);
-  Settings s;
-  for (const auto& c : as_array(required_member(v, "Classes", path), path + ".Classes").GetArray()) {
-    as_object(c, path + ".Classes");
-    tables.classes.emplace(read_member(c, "Name", path + ".Classes", as_string),
-                           static_cast<int>(s.classes.size()));
-    s.classes.push_back(read_class(c, path + ".Classes"));
-  }
-  if (const JsonValue* tenants = find_member(v, "Tenants")) {
-    for (const auto& t : as_array(*tenants, path + ".Tenants").GetArray()) {
-      as_object(t, path + ".Tenants");
-      tables.tenants.emplace(read_member(t, "Name", path + ".Tenants", as_string),
-                             static_cast<int>(s.tenants.size()));
-      s.tenants.push_back({read_member(t, "QuotaPerS", path + ".Tenants", as_double, 0.0)});
-    }
-  }
-  tables.zones = names_of(v, "FailureDomains", path);
-  tables.kinds = names_of(v, "HostTypes", path);
-  s.kinds.resize(std::max<std::size_t>(1, tables.kinds.size()));
-
-  const std::string family_path = path + ".FamilyInfo";
-  const JsonValue& family = as_object(required_member(v, "FamilyInfo", path), family_path);
-  const JsonValue* apart = per_kind(family, "RoutesApart", family_path);
-  const JsonValue* bundle = per_kind(family, "BundleMax", family_path);
-  for (rapidjson::SizeType i = 0; i < s.kinds.size(); i++) {
-    if (apart != nullptr && i < apart->Size())
-      s.kinds[i].independent_routes = as_bool((*apart)[i], family_path + ".RoutesApart");
-    if (bundle != nullptr && i < bundle->Size())
-      s.kinds[i].max_batch_size = as_int((*bundle)[i], family_path + ".BundleMax");
-  }
-  s.max_calls_in_flight = read_member(family, "Workers", family_path, as_int);
-  s.decay = parse_enum<ValueDecay>(read_member(family, "Decay", family_path, as_string, "line"),
-                                   {{"line", ValueDecay::linear}, {"halves", ValueDecay::exponential}},
-                                   family_path + ".Decay");
-  if (const JsonValue* toll = per_kind(family, "Toll", family_path))
-    for (const auto& fee : toll->GetArray()) s.zone_costs.push_back(as_double(fee, family_path + ".Toll"));
-
-  const std::string limits_path = path + ".Limits";
-  const JsonValue& limits = as_object(required_member(v, "Limits", path), limits_path);
-  s.max_open_messages = read_member(limits, "OpenCap", limits_path, as_int);
-  s.max_attempts = read_member(limits, "MaxAttempts", limits_path, as_int);
-  s.hedged_requests = read_member(limits, "SecondCopies", limits_path, as_bool, false);
-  s.cancellation = read_member(limits, "Cancelling", limits_path, as_bool, false);
-  s.health_checks = read_member(limits, "Probes", limits_path, as_bool, false);
-  s.gossip = read_member(limits, "Peers", limits_path, as_bool, false);
-  s.connect_timeout = read_member(limits, "ConnectTimeout", limits_path, as_integer, s.connect_timeout);
-  s.connection_idle_timeout =
-      read_member(limits, "ConnIdle", limits_path, as_integer, s.connection_idle_timeout);
-  s.max_retry_after = read_member(limits, "MaxRetryAfter", limits_path, as_integer, 0);
-
-  const std::string rules_path = path + ".Rules";
-  const JsonValue& rules = as_object(required_member(v, "Rules", path), rules_path);
-  s.answer_slack = read_member(rules, "AnswerSlack", rules_path, as_integer, 0);
-  s.drain_grace = read_member(rules, "DrainGrace", rules_path, as_integer, 0);
-  s.max_poll_interval = read_member(rules, "MustAskIn", rules_path, as_integer, 0);
-  s.order_key_quiet_period = read_member(rules, "SettleAfterDoubt", rules_path, as_integer, 0);
-  s.overload_multiple = read_member(rules, "FallMultiple", rules_path, as_double, s.overload_multiple);
-  s.overload_duration = read_member(rules, "OverloadFor", rules_path, as_integer, s.overload_duration);
-  s.slow_start_capacity = read_member(rules, "ColdFrom", rules_path, as_double, s.slow_start_capacity);
-  s.slow_start_duration = read_member(rules, "Cold", rules_path, as_integer, s.slow_start_duration);
-
-  s.over_quota_weight_fraction = read_member(v, "OverShareWorth", path, as_double, 1.0);
-  s.relay_count = read_member(v, "GroupSize", path, as_int, 1);
-  s.relay_index = read_member(v, "Rank", path, as_int, 0);
-  s.zone = index_of(tables.zones, read_member(v, "Locality", path, as_string, ""));
-  s.min_round_interval = read_member(v, "Tick", path, as_integer, s.min_round_interval);
-  s.subscribes_to_list = read_member(v, "Discovery", path, as_string, "automatic") == "subscribe";
-  s.weights = parse_enum<WeightKind>(read_member(v, "WeightKind", path, as_string, "none"),
-                                     {{"none", WeightKind::none},
-                                      {"nominal", WeightKind::nominal},
-                                      {"rough", WeightKind::rough},
-                                      {"live", WeightKind::none}},
-                                     path + ".WeightKind");
-  return s;
+Settings read_settings(const JsonValue& value, const std::string& path, SettingNames& names) {
+  as_object(value, path);
+  Settings settings;
+  read_classes(value, path, settings, names);
+  read_tenants(value, path, settings, names);
+  names.zones = read_names(value, "FailureDomains", path);
+  names.kinds = read_names(value, "HostTypes", path);
+  read_family(value, path, settings, names);
+  read_limits(value, path, settings);
+  read_rules(value, path, settings);
+  read_relay(value, path, settings, names);
+  return settings;
 }
 
 }  // namespace configuration
