Split the delivery client into a connection pool and a single call

Cause: one class held the addresses, the idle connections, the calls and their outcomes; a call's state was a bag of vectors. Change: ConnectionPool (addresses, idle connections, their expiry), DeliveryCall (one call from its connection to its outcomes, reporting to its Owner), DeliveryClient with its public interface as before. Log lines: "odd answers: X" -> "endpoints: unexpected responses: X", with X "answer broken" -> "malformed or incomplete", "request turned down" -> "request rejected as invalid", "bundle's answer can't be read" -> "malformed batch response".

--- /dev/null
+++ b/relay/connection_pool.cpp
@@ -0,0 +1,140 @@
+#include "connection_pool.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace message_relay {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+using tcp = net::ip::tcp;
+
+namespace {
+
+// What an endpoint sends besides its response comes right behind it. A connection is not reused for so long
+// (microseconds), so that this is not taken for the response to the next request.
+constexpr Time kRestTime = 5'000;
+// Share of the endpoint's idle timeout after which a connection is closed. The remainder covers the transit
+// times of the response that started the endpoint's clock and of the request that would use the connection.
+constexpr double kMaxIdleShare = 0.9;
+
+// Guards against writing to a connection that the endpoint has closed: that would count as a reset.
+bool is_open_and_silent(Connection& connection) {
+  error_code error;
+  connection.socket.cancel(error);
+  char byte = 0;
+  connection.socket.receive(net::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == net::error::would_block;
+}
+
+}  // namespace
+
+ConnectionPool::ConnectionPool(net::io_context& io, Time idle_timeout)
+    : max_idle_time_(static_cast<Time>(kMaxIdleShare * static_cast<double>(idle_timeout))),
+      expiry_timer_(io) {}
+
+void ConnectionPool::set_address(const EndpointId& endpoint, const tcp::endpoint& address) {
+  Endpoint& entry = endpoints_[endpoint];
+  if (entry.address == address) return;
+  entry.address = address;
+  close_idle(endpoint);
+}
+
+std::optional<tcp::endpoint> ConnectionPool::address_of(const EndpointId& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) return std::nullopt;
+  return found->second.address;
+}
+
+void ConnectionPool::remove(const EndpointId& endpoint) {
+  close_idle(endpoint);
+  endpoints_.erase(endpoint);
+}
+
+ConnectionPool::Acquisition ConnectionPool::acquire(const EndpointId& endpoint) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) return {};
+  auto& idle = found->second.idle;
+  const Time rested_since = steady_now() - kRestTime;
+  while (!idle.empty()) {
+    const auto rested = std::find_if(idle.rbegin(), idle.rend(), [&](const auto& connection) {
+      return connection->idle_since <= rested_since;
+    });
+    if (rested == idle.rend()) return {nullptr, idle.front()->idle_since + kRestTime};
+    const auto connection = *rested;
+    idle.erase(std::next(rested).base());
+    idle_count_--;
+    if (is_open_and_silent(*connection)) return {connection, std::nullopt};
+  }
+  return {};
+}
+
+void ConnectionPool::release(const EndpointId& endpoint, const std::shared_ptr<Connection>& connection) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end() || connection->address != found->second.address) return;
+  connection->idle_since = steady_now();
+  found->second.idle.push_back(connection);
+  idle_count_++;
+  if (idle_count_ == 1) close_expired();
+  watch(connection, endpoint);
+}
+
+void ConnectionPool::watch(const std::shared_ptr<Connection>& connection, const EndpointId& endpoint) {
+  connection->socket.async_wait(tcp::socket::wait_read,
+                                [this, weak = std::weak_ptr(connection), endpoint](error_code error) {
+                                  const auto readable = weak.lock();
+                                  if (!error && readable) close(endpoint, readable.get());
+                                });
+}
+
+void ConnectionPool::close(const EndpointId& endpoint, const Connection* connection) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) return;
+  idle_count_ -=
+      std::erase_if(found->second.idle, [&](const auto& other) { return other.get() == connection; });
+}
+
+void ConnectionPool::close_idle(const EndpointId& endpoint) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) return;
+  idle_count_ -= found->second.idle.size();
+  found->second.idle.clear();
+}
+
+void ConnectionPool::close_all_idle() {
+  for (auto& [id, entry] : endpoints_) entry.idle.clear();
+  idle_count_ = 0;
+}
+
+bool ConnectionPool::close_longest_idle() {
+  Endpoint* longest = nullptr;
+  for (auto& [id, entry] : endpoints_) {
+    if (entry.idle.empty()) continue;
+    if (longest == nullptr || entry.idle.front()->idle_since < longest->idle.front()->idle_since)
+      longest = &entry;
+  }
+  if (longest == nullptr) return false;
+  longest->idle.erase(longest->idle.begin());
+  idle_count_--;
+  return true;
+}
+
+// Closes the connections that have been idle long enough, then waits for the next.
+void ConnectionPool::close_expired() {
+  const Time now = steady_now();
+  Time next_expiry = now + max_idle_time_;
+  for (auto& [id, entry] : endpoints_) {
+    idle_count_ -= std::erase_if(
+        entry.idle, [&](const auto& connection) { return now >= connection->idle_since + max_idle_time_; });
+    for (const auto& connection : entry.idle)
+      next_expiry = std::min(next_expiry, connection->idle_since + max_idle_time_);
+  }
+  if (idle_count_ == 0) return;
+  expiry_timer_.expires_after(std::chrono::microseconds(next_expiry - now));
+  expiry_timer_.async_wait([this](error_code error) {
+    if (!error) close_expired();
+  });
+}
+
+}  // namespace message_relay
