--- a/relay/delivery_call.cpp
+++ b/relay/delivery_call.cpp
@@ -181,12 +181,12 @@
 
 void DeliveryCall::receive(error_code error) {
   using State = ResponseReader::State;
-  if (error) return process(State::broken);
+  if (error) return process(State::malformed);
   auto& buffer = environment_.read_buffer;
   const std::size_t size = connection_->socket.read_some(net::buffer(buffer), error);
   if (error == net::error::would_block) return read_response();
   if (error == net::error::eof) return process(response_.finish());
-  if (error) return process(State::broken);
+  if (error) return process(State::malformed);
   const State state = response_.append(buffer.data(), size);
   response_bytes_.append(buffer.data(), size);
   process(state);
@@ -194,8 +194,8 @@
 
 void DeliveryCall::process(ResponseReader::State state) {
   using State = ResponseReader::State;
-  if (state == State::whole) return process_response();
-  if (state == State::broken) return fail_response();
+  if (state == State::complete) return process_response();
+  if (state == State::malformed) return fail_response();
   const bool has_started = response_.has_started();
   if (has_started != (response_due_ > 0)) {
     response_due_ = has_started ? steady_now() + kResponseTimeout : 0;
@@ -402,7 +402,7 @@
   for (std::size_t i = 0; i < messages_.size(); i++) messages_[i].given_up = handed_over.given_up[i];
   stage_ = Stage::awaiting_response;
   const auto read_state = response_.append(response_bytes_.data(), response_bytes_.size());
-  const auto state = error ? ResponseReader::State::broken : read_state;
+  const auto state = error ? ResponseReader::State::malformed : read_state;
   restart_timer();
   net::post(environment_.io, [self = shared_from_this(), state] {
     if (!self->is_finished()) self->process(state);
--- a/relay/response_reader.hpp
+++ b/relay/response_reader.hpp
@@ -1,5 +1,5 @@
-// One answer of an endpoint, piece by piece as it comes; the one place that tells a broken stream. No input
-// or output here.
+// Parses one response of an endpoint as it arrives. The one place that decides whether a response is
+// malformed. No input or output here.
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
@@ -12,43 +12,55 @@
 
 namespace message_relay {
 
-// Whether an answer that begins so says 200, as its first line alone tells; nothing while too little has
-// come.
+// Whether the status line at the start of this text says 200; nothing where too little has come to tell.
 std::optional<bool> status_line_is_ok(const std::string& text);
 
 class ResponseReader {
  public:
   enum class State {
-    more,   // it goes on
-    whole,  // it has come
-    broken  // it can't be read, or is larger than any answer may be
+    incomplete,  // more is to come
+    complete,
+    malformed,  // it can't be parsed, or exceeds the size limits
   };
-  ResponseReader() { start(); }
 
-  State append(const char* bytes, std::size_t size);
-  State finish();  // the connection has ended
+  ResponseReader() { begin_response(); }
 
-  // Part of the answer has come. Answers ahead of it (1xx) don't count.
-  bool has_started() const { return begun_; }
-  bool status_line_ok() const { return ok_.value_or(false); }
-  // The next answer on the connection is the next call's: this one is whole and nothing came behind it.
-  bool reusable() const { return whole_ && !left_over_ && parser_->keep_alive(); }
+  // Adds what has arrived.
+  [[nodiscard]] State append(const char* bytes, std::size_t size);
+  // The endpoint has closed the connection.
+  [[nodiscard]] State finish();
+
+  // Whether a part of the response has arrived; informational (1xx) responses before it don't count.
+  bool has_started() const { return started_; }
+  bool status_line_ok() const { return status_line_ok_.value_or(false); }
+  // Whether the next response on the connection is that to the next request: this one is complete, and
+  // nothing came behind it.
+  bool reusable() const { return complete_ && !has_excess_bytes_ && parser_->keep_alive(); }
 
   bool has_head() const { return parser_->is_header_done(); }
+  // The members below need the head.
   unsigned status() const { return parser_->get().result_int(); }
   bool line_busy() const { return parser_->get()["X-Line-Busy"] == "1"; }
   const std::string& body() const { return parser_->get().body(); }
-  Time retry_after() const;  // 0: none
+  // How long the endpoint asks not to be called, in microseconds; 0: not at all, or no usable value.
+  Time retry_after() const;
   dispatch::LoadReport load_report() const;
 
  private:
   using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-  void start();
+
+  void begin_response();
+  State parse_pending();
+  bool is_informational() const;
+
   std::optional<Parser> parser_;
-  std::string pending_;  // not parsed yet
-  std::optional<bool> ok_;
-  int ahead_ = 0;  // 1xx answers
-  bool begun_ = false, framed_ = false, whole_ = false, left_over_ = false;
+  std::string pending_;  // arrived but not parsed yet
+  std::optional<bool> status_line_ok_;
+  int informational_count_ = 0;  // 1xx responses
+  bool started_ = false;
+  bool framing_checked_ = false;
+  bool complete_ = false;
+  bool has_excess_bytes_ = false;
 };
 
 }  // namespace message_relay
