Split the parsing of client requests into short functions

Cause: one function checked and read everything, with a comma chain and limits in the house style. Change: split_path, check_names, repeats_a_header, parse_destination and others; headers, statuses and limits as named constants. The order of the checks is the same. Reasons in the log: "unknown method" -> "method not allowed", "a field stands twice" -> "repeated header", "two classes" -> "class header differs from the path", "no usable id/key/order key/destination/deadline" -> "invalid request id/idempotency key/order key/destination/deadline".

--- a/relay/request_parser.cpp
+++ b/relay/request_parser.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "clock.hpp"
 
@@ -14,95 +16,150 @@
 
 namespace {
 
-constexpr std::size_t kMostId = 256, kMostName = 256;
-// A deadline so many times that of its class is no slip of a clock: the request makes no sense.
-constexpr Time kMostDeadlines = 2;
+constexpr std::size_t kMaxIdBytes = 256;
+constexpr std::size_t kMaxNameBytes = 256;
+// A deadline of more than so many times that of the class is not explained by clocks that differ: the request
+// is invalid.
+constexpr Time kMaxDeadlineFactor = 2;
+constexpr double kMicrosecondsPerMillisecond = 1000;
+
+constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusMethodNotAllowed = 405;
+
+constexpr const char* kRequestId = "X-Request-Id";
+constexpr const char* kClass = "X-Class";
+constexpr const char* kTenant = "X-Tenant";
+constexpr const char* kDeadline = "X-Deadline";
+constexpr const char* kDestination = "X-Consignee";
+constexpr const char* kIdempotencyKey = "Idempotency-Key";
+constexpr const char* kResubmission = "X-Retry";
+
+// What is wrong with a request.
+struct Rejection {
+  unsigned status = 0;
+  const char* reason = "";
+};
 
 template <class T>
-std::optional<T> number(beast::string_view text) {
-  T v{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), v);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return v;
+std::optional<T> parse_number(beast::string_view text) {
+  const char* const text_end = text.data() + text.size();
+  T number{};
+  const auto [end, error] = std::from_chars(text.data(), text_end, number);
+  if (error != std::errc() || end != text_end) return std::nullopt;
+  return number;
 }
 
-// "480m" milliseconds, "250000u" microseconds; at most `most`.
-std::optional<Time> duration(beast::string_view text, Time most) {
+// "480m" is milliseconds, "250000u" microseconds; nothing where it is more than `max_duration`.
+std::optional<Time> parse_duration(beast::string_view text, Time max_duration) {
   if (text.size() < 2) return std::nullopt;
   const char unit = text.back();
-  const auto v = number<double>(text.substr(0, text.size() - 1));
-  if (!v || !std::isfinite(*v) || *v < 0 || (unit != 'm' && unit != 'u')) return std::nullopt;
-  const double us = *v * (unit == 'm' ? 1000 : 1);
-  if (us > static_cast<double>(most)) return std::nullopt;
-  return static_cast<Time>(us);
+  const auto number = parse_number<double>(text.substr(0, text.size() - 1));
+  if (!number || !std::isfinite(*number) || *number < 0) return std::nullopt;
+  if (unit != 'm' && unit != 'u') return std::nullopt;
+  const double microseconds = *number * (unit == 'm' ? kMicrosecondsPerMillisecond : 1);
+  if (microseconds > static_cast<double>(max_duration)) return std::nullopt;
+  return static_cast<Time>(microseconds);
+}
+
+beast::string_view without_surrounding_spaces(beast::string_view text) {
+  while (!text.empty() && text.front() == ' ') text.remove_prefix(1);
+  while (!text.empty() && text.back() == ' ') text.remove_suffix(1);
+  return text;
 }
 
 // The value of `dest` in "dest=7" or "a=1; dest=7".
-std::optional<std::int64_t> destination(beast::string_view text) {
+std::optional<std::int64_t> parse_destination(beast::string_view text) {
+  constexpr beast::string_view prefix = "dest=";
   while (!text.empty()) {
     const auto end = std::min(text.find_first_of(";,"), text.size());
-    auto field = text.substr(0, end);
-    while (!field.empty() && field.front() == ' ') field.remove_prefix(1);
-    while (!field.empty() && field.back() == ' ') field.remove_suffix(1);
-    if (field.starts_with("dest=")) return number<std::int64_t>(field.substr(5));
+    const auto field = without_surrounding_spaces(text.substr(0, end));
+    if (field.starts_with(prefix)) return parse_number<std::int64_t>(field.substr(prefix.size()));
     text.remove_prefix(std::min(end + 1, text.size()));
   }
   return std::nullopt;
 }
 
-// Ids go into headers, JSON and the log unchanged: visible ASCII only.
-bool usable_id(beast::string_view id) {
-  return !id.empty() && id.size() <= kMostId &&
-         std::all_of(id.begin(), id.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+// Ids are copied to headers, JSON and the log: visible ASCII only.
+bool is_valid_id(beast::string_view id) {
+  const auto is_visible = [](char c) { return c > ' ' && c < '\x7f'; };
+  return !id.empty() && id.size() <= kMaxIdBytes && std::all_of(id.begin(), id.end(), is_visible);
+}
+
+// The path of a request: "/class" or "/class/order-key".
+struct RequestPath {
+  beast::string_view message_class;
+  beast::string_view order_key;
+};
+
+RequestPath split_path(beast::string_view target) {
+  auto path = target.substr(0, target.find('?'));
+  if (path.starts_with('/')) path.remove_prefix(1);
+  const auto separator = path.find('/');
+  if (separator == beast::string_view::npos) return {path, {}};
+  return {path.substr(0, separator), path.substr(separator + 1)};
+}
+
+bool repeats_a_header(const Request& request) {
+  const auto headers = {kRequestId, kClass, kTenant, kDeadline, kDestination, kIdempotencyKey};
+  return std::any_of(headers.begin(), headers.end(),
+                     [&](const char* header) { return request.count(header) > 1; });
+}
+
+// What is wrong with the headers and the path that are copied to the message as they are.
+std::optional<Rejection> check_names(const Request& request, const RequestPath& path,
+                                     const configuration::SettingNames& names) {
+  const auto declared_class = request[kClass];
+  if (!declared_class.empty() && declared_class != path.message_class)
+    return Rejection{kStatusBadRequest, "class header differs from the path"};
+  if (!is_valid_id(request[kRequestId])) return Rejection{kStatusBadRequest, "invalid request id"};
+  const auto tenant = request[kTenant];
+  const bool is_known_tenant = names.tenants.empty() || names.tenants.contains(std::string(tenant));
+  if (tenant.size() > kMaxNameBytes || !is_known_tenant)
+    return Rejection{kStatusBadRequest, "unknown tenant"};
+  const auto idempotency_key = request[kIdempotencyKey];
+  if (!idempotency_key.empty() && !is_valid_id(idempotency_key))
+    return Rejection{kStatusBadRequest, "invalid idempotency key"};
+  if (path.order_key.size() > kMaxNameBytes) return Rejection{kStatusBadRequest, "invalid order key"};
+  return std::nullopt;
+}
+
+ParsedRequest rejected(const Rejection& rejection) {
+  ParsedRequest parsed;
+  parsed.rejection_status = rejection.status;
+  parsed.rejection_reason = rejection.reason;
+  return parsed;
 }
 
 }  // namespace
 
 ParsedRequest parse_request(Request& request, const dispatch::Settings& settings,
                             const configuration::SettingNames& names) {
-  ParsedRequest h;
-  const auto refuse = [&h](unsigned status, const char* why) {
-    h.rejection_status = status, h.rejection_reason = why;
-    return h;
-  };
-  // The class is the first part of the path.
-  auto path = request.target();
-  path = path.substr(0, path.find('?'));
-  if (path.starts_with('/')) path.remove_prefix(1);
-  const auto cut = path.find('/');
-  const auto rest = cut == beast::string_view::npos ? beast::string_view() : path.substr(cut + 1);
-  path = path.substr(0, cut);
-  const auto cls = names.classes.find(std::string(path));
-  if (cls == names.classes.end()) return refuse(404, "unknown class");
-  if (request.method() != http::verb::post) return refuse(405, "unknown method");
-  for (const char* once :
-       {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Consignee", "Idempotency-Key"})
-    if (request.count(once) > 1) return refuse(400, "a field stands twice");
-  const auto named = request["X-Class"], tenant = request["X-Tenant"];
-  if (!named.empty() && named != path) return refuse(400, "two classes");
-  if (!usable_id(request["X-Request-Id"])) return refuse(400, "no usable id");
-  if (tenant.size() > kMostName || (!names.tenants.empty() && names.tenants.count(std::string(tenant)) == 0))
-    return refuse(400, "unknown tenant");
-  const auto key = request["Idempotency-Key"];
-  if (!key.empty() && !usable_id(key)) return refuse(400, "no usable key");
-  if (rest.size() > kMostName) return refuse(400, "no usable order key");
-  const auto dest = destination(request["X-Consignee"]);
-  if (!dest) return refuse(400, "no usable destination");
-  const auto most = kMostDeadlines * settings.classes[static_cast<std::size_t>(cls->second)].deadline;
-  const auto left = duration(request["X-Deadline"], most);
-  if (!left) return refuse(400, "no usable deadline");
-  h.message.id = std::string(request["X-Request-Id"]);
-  h.message.message_class = std::string(path);
-  h.message.tenant = std::string(tenant);
-  h.message.destination = *dest;
-  h.message.deadline = wall_now() + *left;
-  h.message.idempotency_key = std::string(key);
-  // What a message of a class in order is about stands behind the class in its path.
-  if (settings.classes[static_cast<std::size_t>(cls->second)].ordered)
-    h.message.order_key = std::string(rest);
-  h.message.resubmitted = request["X-Retry"] == "1";
-  h.message.body = std::move(request.body());
-  return h;
+  const RequestPath path = split_path(request.target());
+  const auto found_class = names.classes.find(std::string(path.message_class));
+  if (found_class == names.classes.end()) return rejected({kStatusNotFound, "unknown class"});
+  const auto& class_settings = settings.classes[static_cast<std::size_t>(found_class->second)];
+  if (request.method() != http::verb::post) return rejected({kStatusMethodNotAllowed, "method not allowed"});
+  if (repeats_a_header(request)) return rejected({kStatusBadRequest, "repeated header"});
+  if (const auto rejection = check_names(request, path, names)) return rejected(*rejection);
+  const auto destination = parse_destination(request[kDestination]);
+  if (!destination) return rejected({kStatusBadRequest, "invalid destination"});
+  const auto time_to_deadline =
+      parse_duration(request[kDeadline], kMaxDeadlineFactor * class_settings.deadline);
+  if (!time_to_deadline) return rejected({kStatusBadRequest, "invalid deadline"});
+
+  ParsedRequest parsed;
+  Message& message = parsed.message;
+  message.id = std::string(request[kRequestId]);
+  message.message_class = std::string(path.message_class);
+  message.tenant = std::string(request[kTenant]);
+  message.destination = *destination;
+  message.deadline = wall_now() + *time_to_deadline;
+  message.idempotency_key = std::string(request[kIdempotencyKey]);
+  if (class_settings.ordered) message.order_key = std::string(path.order_key);
+  message.resubmitted = request[kResubmission] == "1";
+  message.body = std::move(request.body());
+  return parsed;
 }
 
 }  // namespace message_relay
