Give the JSON stream splitter and the framing check whole names and one step a line

Cause: comma chains, broken_, in_text_ and at_; the framing rule stood in one expression. No logic changes.

--- a/relay/http_framing.cpp
+++ b/relay/http_framing.cpp
@@ -7,15 +7,26 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-bool has_unambiguous_framing(const http::fields& head, unsigned version) {
-  const auto lengths = head.count(http::field::content_length);
-  const auto codings = head.count(http::field::transfer_encoding);
-  // Beast takes "3, 3" for 3.
-  const auto length = head[http::field::content_length];
-  const bool plain = std::all_of(length.begin(), length.end(), [](char c) { return c >= '0' && c <= '9'; });
-  if (codings == 0) return lengths == 0 || (lengths == 1 && plain);
-  return lengths == 0 && codings == 1 && version >= 11 &&
-         beast::iequals(head[http::field::transfer_encoding], "chunked");
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+// Beast accepts a list of equal lengths ("3, 3").
+bool is_plain_number(beast::string_view text) {
+  return std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+}  // namespace
+
+bool has_unambiguous_framing(const http::fields& header, unsigned version) {
+  const auto length_count = header.count(http::field::content_length);
+  const auto coding_count = header.count(http::field::transfer_encoding);
+  if (coding_count == 0) {
+    if (length_count == 0) return true;
+    return length_count == 1 && is_plain_number(header[http::field::content_length]);
+  }
+  return length_count == 0 && coding_count == 1 && version >= kHttp11 &&
+         beast::iequals(header[http::field::transfer_encoding], "chunked");
 }
 
 }  // namespace message_relay
--- a/relay/http_framing.hpp
+++ b/relay/http_framing.hpp
@@ -1,14 +1,16 @@
-// Whether it is certain where an HTTP message ends. Where it is not, what stands behind it may be part of it:
-// its connection is of no further use.
+// Limits of HTTP messages, and whether it is certain where one ends.
 #pragma once
 
 #include <boost/beast/http/fields.hpp>
+#include <cstdint>
 
 namespace message_relay {
 
-constexpr std::uint64_t kMaxBodyBytes = 64 * 1024;
-constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
+constexpr std::uint64_t kMaxBodyBytes = std::uint64_t{64} * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = std::uint32_t{16} * 1024;
 
-bool has_unambiguous_framing(const boost::beast::http::fields& head, unsigned version);
+// Whether the header leaves no doubt where the message ends; `version` is 10 or 11. Where it does, what
+// follows may be part of the message, and its connection can't be used any further (request smuggling).
+[[nodiscard]] bool has_unambiguous_framing(const boost::beast::http::fields& header, unsigned version);
 
 }  // namespace message_relay
--- a/relay/json_stream_splitter.cpp
+++ b/relay/json_stream_splitter.cpp
@@ -1,27 +1,46 @@
 #include "json_stream_splitter.hpp"
 
 namespace message_relay {
+namespace {
+
+bool is_space(char c) { return c == ' ' || c == '\t' || c == '\r' || c == '\n'; }
+bool is_opening(char c) { return c == '{' || c == '['; }
+bool is_closing(char c) { return c == '}' || c == ']'; }
+
+}  // namespace
 
 std::optional<std::string> JsonStreamSplitter::next() {
-  for (; at_ < text_.size() && !broken_; at_++) {
-    const char c = text_[at_];
-    if (in_text_) {
-      in_text_ = escaped_ || c != '"';
-      escaped_ = !escaped_ && c == '\\';
-    } else if (c == '{' || c == '[') {
-      if (depth_++ == 0) text_.erase(0, at_), at_ = 0;
+  for (; position_ < buffer_.size() && !malformed_; position_++) {
+    const char c = buffer_[position_];
+    if (in_string_) {
+      scan_string(c);
+    } else if (is_opening(c)) {
+      if (depth_ == 0) discard_before(position_);
+      depth_++;
     } else if (depth_ == 0) {
-      broken_ = c != ' ' && c != '\t' && c != '\r' && c != '\n';
+      malformed_ = !is_space(c);
     } else if (c == '"') {
-      in_text_ = true;
-    } else if ((c == '}' || c == ']') && --depth_ == 0) {
-      std::string value = text_.substr(0, at_ + 1);
-      text_.erase(0, at_ + 1), at_ = 0;
+      in_string_ = true;
+    } else if (is_closing(c)) {
+      depth_--;
+      if (depth_ > 0) continue;
+      std::string value = buffer_.substr(0, position_ + 1);
+      discard_before(position_ + 1);
       return value;
     }
   }
-  if (depth_ == 0) text_.clear(), at_ = 0;  // only space
+  if (depth_ == 0) discard_before(buffer_.size());  // only white space
   return std::nullopt;
 }
 
+void JsonStreamSplitter::scan_string(char c) {
+  in_string_ = escaped_ || c != '"';
+  escaped_ = !escaped_ && c == '\\';
+}
+
+void JsonStreamSplitter::discard_before(std::size_t position) {
+  buffer_.erase(0, position);
+  position_ = 0;
+}
+
 }  // namespace message_relay
