Speak of gossip and payloads in the gossip channel

Cause: it spoke of notes; the receive handler and the constructor did several things at once. Change: open, address_of, retry_receive and deliver split off; kMostNote -> kMaxPayloadBytes, note_ -> buffer_, pause_ -> retry_timer_, all_ -> all_peers_. No logic changes. Log lines: "peers: can't listen: X; going on without notes" -> "gossip: can't listen: X; going on without gossip"; "note to a peer: too long, not sent" -> "gossip: payload too long, not sent".

--- a/relay/gossip_channel.cpp
+++ b/relay/gossip_channel.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <chrono>
+#include <utility>
 
 #include "log.hpp"
 
@@ -12,57 +14,72 @@
 using udp = net::ip::udp;
 
 namespace {
-constexpr std::size_t kMostNote = 256;
-constexpr auto kPause = std::chrono::milliseconds(50);
+
+constexpr auto kReceiveRetryDelay = std::chrono::milliseconds(50);
+
 }  // namespace
 
 GossipChannel::GossipChannel(net::io_context& io, const udp::endpoint& listen,
                              std::vector<udp::endpoint> peers, std::optional<udp::endpoint> all, int own_rank,
                              Heard heard)
     : socket_(io),
-      pause_(io),
+      retry_timer_(io),
       peers_(std::move(peers)),
-      all_(all),
+      all_peers_(std::move(all)),
       own_rank_(own_rank),
       heard_(std::move(heard)) {
-  error_code bad;
-  socket_.open(listen.protocol(), bad);
-  // The process that this one took over from may not quite have ended.
-  if (!bad) socket_.set_option(udp::socket::reuse_address(true), bad);
-  if (!bad) socket_.bind(listen, bad);
-  if (!bad) socket_.non_blocking(true, bad);
-  if (bad)
-    log("peers: can't listen: " + bad.message() + "; going on without notes");
+  if (const error_code error = open(listen))
+    log("gossip: can't listen: " + error.message() + "; going on without gossip");
   else
     receive();
 }
 
-void GossipChannel::send(int whom, const std::string& body) {
-  if (body.size() > kMostNote) return log("note to a peer: too long, not sent");
-  const auto to = whom < 0 ? all_
-                  : static_cast<std::size_t>(whom) < peers_.size()
-                      ? std::optional(peers_[static_cast<std::size_t>(whom)])
-                      : std::nullopt;
-  error_code lost;  // as any note may be
-  if (to) socket_.send_to(net::buffer(body), *to, 0, lost);
+error_code GossipChannel::open(const udp::endpoint& listen) {
+  error_code error;
+  socket_.open(listen.protocol(), error);
+  // The process that handed over to this one may not have ended yet.
+  if (!error) socket_.set_option(udp::socket::reuse_address(true), error);
+  if (!error) socket_.bind(listen, error);
+  if (!error) socket_.non_blocking(true, error);
+  return error;
+}
+
+std::optional<udp::endpoint> GossipChannel::address_of(int recipient) const {
+  if (recipient < 0) return all_peers_;
+  const auto rank = static_cast<std::size_t>(recipient);
+  if (rank >= peers_.size()) return std::nullopt;
+  return peers_[rank];
+}
+
+void GossipChannel::send(int recipient, const std::string& payload) {
+  if (payload.size() > kMaxPayloadBytes) return log("gossip: payload too long, not sent");
+  error_code ignored;  // any datagram may be lost
+  if (const auto address = address_of(recipient)) socket_.send_to(net::buffer(payload), *address, 0, ignored);
 }
 
 void GossipChannel::receive() {
-  socket_.async_receive_from(net::buffer(note_), sender_, [this](error_code bad, std::size_t size) {
-    if (bad == net::error::operation_aborted) return;
-    if (bad) {
-      // An earlier note met a closed port, or the like. Guards against spinning on an error that stays.
-      pause_.expires_after(kPause);
-      return pause_.async_wait([this](error_code stopped) {
-        if (!stopped) receive();
-      });
-    }
-    const auto from = std::find(peers_.begin(), peers_.end(), sender_);
-    const int rank = static_cast<int>(from - peers_.begin());
-    if (from != peers_.end() && rank != own_rank_ && size <= kMostNote)
-      heard_(rank, std::string(note_.data(), size));
+  socket_.async_receive_from(net::buffer(buffer_), sender_, [this](error_code error, std::size_t size) {
+    if (error == net::error::operation_aborted) return;
+    if (error) return retry_receive();
+    deliver(size);
     receive();
   });
 }
 
+// The error may concern an earlier datagram that met a closed port. Guards against a busy loop on one that
+// persists.
+void GossipChannel::retry_receive() {
+  retry_timer_.expires_after(kReceiveRetryDelay);
+  retry_timer_.async_wait([this](error_code error) {
+    if (!error) receive();
+  });
+}
+
+void GossipChannel::deliver(std::size_t size) {
+  const auto sender = std::find(peers_.begin(), peers_.end(), sender_);
+  if (sender == peers_.end() || size > kMaxPayloadBytes) return;
+  const int rank = static_cast<int>(sender - peers_.begin());
+  if (rank != own_rank_) heard_(rank, std::string(buffer_.data(), size));
+}
+
 }  // namespace message_relay
