--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "codec.hpp"
+#include "json_fields.hpp"
 
 namespace simulator_adapter {
 namespace {
@@ -47,9 +48,9 @@
   // What is said of a line that is malformed.
   std::string complaint(const std::string& line) {
     std::string reply;
-    codec_.take(R"({"kind":"ROUND","Clock":1})", reply);
+    EXPECT_FALSE(codec_.take(R"({"kind":"ROUND","Clock":1})", reply));
     try {
-      codec_.take(line, reply);
+      EXPECT_FALSE(codec_.take(line, reply));
     } catch (const configuration::FieldError& e) {
       return e.what();
     }
