--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -100,9 +100,7 @@
   const auto [endpoint, is_new] = directory.update(info);
   directory.scope_of(endpoint).limiter.start_from_weight(round, info.weight);
   if (!is_new) return;
-  endpoint.batch_size = endpoint.max_batch_size;
-  endpoint.use_gap.start(seconds(settings.connection_idle_timeout) * kInitialUseGap);
-  endpoint.demand.start(round.now());
+  start_estimates(endpoint);
   outlier_detector.on_added(endpoint);
   directory.add_sibling(endpoint);
 }
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -75,6 +75,7 @@
   bool has_room_in_batch(const EndpointState& endpoint) const;
   int max_calls(EndpointState& endpoint);
   void on_call_begun(const Message& message, EndpointState& endpoint);
+  void start_estimates(EndpointState& endpoint);
   void grow_capacity(EndpointState& endpoint);
   void limit_concurrency(EndpointState& endpoint, Outcome outcome);
   void on_unanswered(EndpointState& endpoint, const event::AttemptEnded& attempt);
--- a/src/endpoint_selection.cpp
+++ b/src/endpoint_selection.cpp
@@ -20,7 +20,6 @@
 constexpr double kOtherZoneCost = 0.02;        // seconds
 constexpr double kSlowStartCost = 2;           // factor
 constexpr double kCostJitter = 0.1;
-// Connections.
 constexpr double kCapGrowthGap = 2;       // seconds between steps of a concurrency cap
 constexpr double kSparedConnections = 8;  // idle connections of all relays that an endpoint can spare
 constexpr double kLongUseGap = 2.5;       // in idle time-outs: a connection is hardly used again
@@ -118,6 +117,12 @@
   return std::max(1, static_cast<int>(limit));
 }
 
+void Dispatcher::State::start_estimates(EndpointState& endpoint) {
+  endpoint.batch_size = endpoint.max_batch_size;
+  endpoint.use_gap.start(seconds(settings.connection_idle_timeout) * kInitialUseGap);
+  endpoint.demand.start(round.now());
+}
+
 void Dispatcher::State::grow_capacity(EndpointState& endpoint) {
   endpoint.batch_size = std::min(endpoint.batch_size + 1, endpoint.max_batch_size);
   if (endpoint.concurrency_cap == 0) return;
--- a/src/list_polling.cpp
+++ b/src/list_polling.cpp
@@ -8,13 +8,12 @@
 namespace dispatch {
 namespace {
 
-// Seconds.
-constexpr double kAssumedKnownAfter = 6;  // a change counts as known so long after it, arrived or not;
-constexpr double kAnswerTime = 1;         // this is kept back for the answer to come
+constexpr double kAssumedKnownAfter = 6;  // seconds after a change, arrived or not, it counts as known;
+constexpr double kAnswerTime = 1;         // seconds; this is kept back for the answer to come
 constexpr double kMaxListAge = kAssumedKnownAfter - kAnswerTime;
-constexpr double kPollSpacing = 0.1;  // between the polls of all relays of a large fleet together
-constexpr double kMaxPushedPollGap = 0.25;
-constexpr double kPollGapOfGrace = 0.125;  // part of a drain's grace
+constexpr double kPollSpacing = 0.1;  // seconds between the polls of all relays of a large fleet together
+constexpr double kMaxPushedPollGap = 0.25;  // seconds
+constexpr double kPollGapOfGrace = 0.125;   // part of a drain's grace
 
 }  // namespace
 
