--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -100,9 +100,7 @@
   const auto [endpoint, is_new] = directory.update(info);
   directory.scope_of(endpoint).limiter.start_from_weight(round, info.weight);
   if (!is_new) return;
-  endpoint.batch_size = endpoint.max_batch_size;
-  endpoint.use_gap.start(seconds(settings.connection_idle_timeout) * kInitialUseGap);
-  endpoint.demand.start(round.now());
+  start_estimates(endpoint);
   outlier_detector.on_added(endpoint);
   directory.add_sibling(endpoint);
 }
@@ -242,8 +240,8 @@
   writer.add_line(kRelayLine, *this);
   writer.add_line(kLowRateLine, low_rate_pacer.record());
   for (auto& [id, destination] : directory.destinations())
-    writer.add_line(kDestinationLine + ' ' + std::to_string(id), destination.scope);
-  for (auto& [id, endpoint] : directory.endpoints()) writer.add_line(kEndpointLine + ' ' + id, endpoint);
+    writer.add_line(kDestinationLine, std::to_string(id), destination.scope);
+  for (auto& [id, endpoint] : directory.endpoints()) writer.add_line(kEndpointLine, id, endpoint);
   return writer.text();
 }
 
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -61,7 +61,7 @@
   void on(const event::EndpointSuspension& suspension);
   void on(const event::LearnedStateRestored& restored);
   void recover_call(Message& message, const event::CallInFlight& in_flight);
-  void forget_if_done(MessageMap::iterator message);
+  void forget_if_done(MessageMap::iterator it);
 
   void add_or_update(const Endpoint& info);
   void record_outcome(EndpointState& endpoint, Call& call, const event::AttemptEnded& attempt);
@@ -75,6 +75,7 @@
   bool has_room_in_batch(const EndpointState& endpoint) const;
   int max_calls(EndpointState& endpoint);
   void on_call_begun(const Message& message, EndpointState& endpoint);
+  void start_estimates(EndpointState& endpoint);
   void grow_capacity(EndpointState& endpoint);
   void limit_concurrency(EndpointState& endpoint, Outcome outcome);
   void on_unanswered(EndpointState& endpoint, const event::AttemptEnded& attempt);
