Name abandoned messages and a few comments in ordinary terms

Cause: give_up and given_up in the call's own members, and comments that said told and asked. Change: give_up -> abandon, given_up -> abandoned_as in DeliveryCall (InFlightCall keeps its public name); comments.

--- a/relay/delivery_call.cpp
+++ b/relay/delivery_call.cpp
@@ -283,7 +283,7 @@
   Time due = steady_now() + kNever;
   for (const auto& pending : messages_) {
     if (pending.ended) continue;
-    if (!pending.given_up) due = std::min(due, sent_at_ + pending.message.timeout);
+    if (!pending.abandoned_as) due = std::min(due, sent_at_ + pending.message.timeout);
     if (is_connecting()) due = std::min(due, pending.message.start_by);
   }
   if (is_connecting()) due = std::min(due, connect_due());
@@ -300,7 +300,7 @@
   // The endpoint may have processed a request whose first byte was sent.
   const Outcome outcome = was_connecting ? Outcome::connect_failed : Outcome::timeout;
   for (auto& pending : messages_)
-    if (!pending.ended && now >= sent_at_ + pending.message.timeout) give_up(pending, outcome);
+    if (!pending.ended && now >= sent_at_ + pending.message.timeout) abandon(pending, outcome);
   restart_timer();
 }
 
@@ -353,15 +353,16 @@
 
 // Stops waiting for a message. Where its request was begun, it ends with the call, when none of its messages
 // is waited for any more: reported before, it could be sent again while this copy is still in flight.
-void DeliveryCall::give_up(PendingMessage& pending, Outcome outcome) {
+void DeliveryCall::abandon(PendingMessage& pending, Outcome outcome) {
   if (is_connecting()) return end(pending, {outcome});
-  if (pending.ended || pending.given_up) return;
-  pending.given_up = outcome;
-  const bool others_awaited = std::any_of(messages_.begin(), messages_.end(),
-                                          [](const auto& other) { return !other.ended && !other.given_up; });
+  if (pending.ended || pending.abandoned_as) return;
+  pending.abandoned_as = outcome;
+  const bool others_awaited = std::any_of(messages_.begin(), messages_.end(), [](const auto& other) {
+    return !other.ended && !other.abandoned_as;
+  });
   if (others_awaited) return;
   for (auto& other : messages_)
-    if (!other.ended) end(other, {*other.given_up});
+    if (!other.ended) end(other, {*other.abandoned_as});
 }
 
 bool DeliveryCall::cancel(MessageId id, int attempt) {
@@ -369,7 +370,7 @@
     return !pending.ended && pending.message.id == id && pending.message.attempt == attempt;
   });
   if (found == messages_.end()) return false;
-  give_up(*found, is_connecting() ? Outcome::connect_failed : Outcome::cancelled);
+  abandon(*found, is_connecting() ? Outcome::connect_failed : Outcome::cancelled);
   return true;
 }
 
@@ -385,7 +386,7 @@
   state.response_bytes = response_bytes_;
   for (const auto& pending : messages_) {
     state.messages.push_back(pending.message);
-    state.given_up.push_back(pending.given_up);
+    state.given_up.push_back(pending.abandoned_as);
   }
   return state;
 }
@@ -399,7 +400,7 @@
   sent_at_ = handed_over.sent_at;
   response_due_ = handed_over.response_due;
   response_bytes_ = handed_over.response_bytes;
-  for (std::size_t i = 0; i < messages_.size(); i++) messages_[i].given_up = handed_over.given_up[i];
+  for (std::size_t i = 0; i < messages_.size(); i++) messages_[i].abandoned_as = handed_over.given_up[i];
   stage_ = Stage::awaiting_response;
   const auto read_state = response_.append(response_bytes_.data(), response_bytes_.size());
   const auto state = error ? ResponseReader::State::malformed : read_state;
--- a/relay/delivery_call.hpp
+++ b/relay/delivery_call.hpp
@@ -122,7 +122,7 @@
     OutgoingMessage message;
     bool ended = false;  // its outcome was reported
     // Set where it is no longer waited for while others of the call are: reported when the call ends.
-    std::optional<Outcome> given_up;
+    std::optional<Outcome> abandoned_as;
   };
   struct AttemptResult {
     Outcome outcome = Outcome::succeeded;
@@ -150,7 +150,7 @@
   void end(PendingMessage& pending, AttemptResult result);
   void end_all(AttemptResult result);
   void end_late_messages();
-  void give_up(PendingMessage& pending, Outcome outcome);
+  void abandon(PendingMessage& pending, Outcome outcome);
   void finish();
   bool is_delivered() const;
 
--- a/relay/discovery_client.cpp
+++ b/relay/discovery_client.cpp
@@ -74,7 +74,7 @@
 void DiscoveryClient::relocate(const tcp::endpoint& address) {
   if (address == address_) return;
   address_ = address;
-  // The service may count versions anew at the new address: everything is asked for.
+  // The service at the new address may number versions anew: everything is queried.
   list_version_ = 0;
   needs_snapshot_ = true;
   // The watch that is begun at the new address brings what these would have.
@@ -210,7 +210,7 @@
     // A snapshot that is due after a move is as overdue as what a watch without data has missed.
     reason = ListLossReason::timed_out;
   }
-  if (needs_snapshot_) list_version_ = 0;  // the next watch asks for everything again
+  if (needs_snapshot_) list_version_ = 0;  // the next watch queries everything again
   on_loss_(reason);
 }
 
--- a/relay/discovery_client.hpp
+++ b/relay/discovery_client.hpp
@@ -27,8 +27,8 @@
   using ListHandler = std::function<void(EndpointList)>;
   using LossHandler = std::function<void(dispatch::event::ListLossReason)>;
 
-  // `names` must outlive the client. `list_version` is that of the list known so far; the first watch asks
-  // for changes since then. `on_list` gets each list; `on_loss` is called when a watch or a query ends
+  // `names` must outlive the client. `list_version` is that of the list known so far; the first watch queries
+  // the changes since then. `on_list` gets each list; `on_loss` is called when a watch or a query ends
   // without having been cancelled.
   DiscoveryClient(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint address,
                   const configuration::SettingNames& names, const DiscoveryTimeouts& timeouts,
--- a/relay/ingress_session.cpp
+++ b/relay/ingress_session.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t kMaxLingerBytes = 1 << 20;
 // Puts connections without a complete request before all others, in microseconds.
 constexpr Time kUnservedRankOffset = 3'600'000'000;
-constexpr Time kOverloadRetryAfter = 500'000;  // microseconds, told to clients rejected for want of memory
+constexpr Time kOverloadRetryAfter = 500'000;  // microseconds, for clients rejected for want of memory
 
 constexpr unsigned kHttpVersion = 11;
 constexpr unsigned kStatusOk = 200;
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -68,7 +68,7 @@
   // take the last records now.
   [[nodiscard]] bool consolidate();
 
-  // What both files take of the disk, in whole blocks.
+  // Disk space of both files, in whole blocks.
   std::uint64_t bytes_on_disk() const;
 
  private:
--- a/relay/journal_reader.hpp
+++ b/relay/journal_reader.hpp
@@ -23,7 +23,7 @@
   // Must be called first; false where the file is empty or no journal.
   [[nodiscard]] bool read_header();
   // The next record; nothing at the end, and where the next record is incomplete or damaged: what follows
-  // can't be told apart then.
+  // can't be separated into records then.
   [[nodiscard]] std::optional<JournalRecord> next();
 
   // Bytes up to the end of the header or record that was returned last.
