Name the tests of the platform and of the delivery client in the terms of the field

Cause: they spoke of bundles, of calls that are given up and of lists of an earlier life. Change: names and comments of tests, OldListTest -> CachedListTest, CallsTest -> DeliveryClientTest, Values -> JsonStreamSplitterTest, u -> U, one step a line; every expectation is the same.

--- a/tests/delivery_client_test.cpp
+++ b/tests/delivery_client_test.cpp
@@ -1,4 +1,5 @@
-// Calls alone, against a fake endpoint on loopback sockets. Each test says which failure it guards against.
+// The delivery client against a fake endpoint on loopback sockets. Each test says which failure it guards
+// against.
 #include "delivery_client.hpp"
 
 #include "relay_harness.hpp"
@@ -10,18 +11,20 @@
 
 constexpr Time kSoon = 500'000, kLong = 20'000'000;
 
-class CallsTest : public ::testing::Test {
+class DeliveryClientTest : public ::testing::Test {
  protected:
-  CallsTest() : endpoint(io, stay_silent) {
+  DeliveryClientTest() : endpoint(io, stay_silent) {
     const std::string address = endpoint.address();
     const auto port = std::stoi(address.substr(address.rfind(':') + 1));
     calls.set_address("s-1", {net::ip::make_address(own_address()), static_cast<std::uint16_t>(port)});
   }
   static DeliveryLimits limits() {
-    DeliveryLimits l;
-    l.max_calls_in_flight = 4, l.max_connections = 8;
-    l.connect_timeout = kLong, l.idle_timeout = kLong;
-    return l;
+    DeliveryLimits limits;
+    limits.max_calls_in_flight = 4;
+    limits.max_connections = 8;
+    limits.connect_timeout = kLong;
+    limits.idle_timeout = kLong;
+    return limits;
   }
   static OutgoingMessage message(MessageId id, Time timeout) {
     return {id, 0, timeout, "m" + std::to_string(id), "hello"};
@@ -42,24 +45,24 @@
   DeliveryClient calls{io, limits(), [this](const AttemptEnded& e) { ended.push_back(e); }};
 };
 
-// A message that was told as ended is sent again, so its call must be over by then: else a second copy is
-// out.
-TEST_F(CallsTest, AMessageGivenUpInABundleIsOutUntilTheCallEnds) {
+// A message whose end was reported may be sent again, so its call must have ended by then: a second copy
+// would be in flight.
+TEST_F(DeliveryClientTest, AMessageGivenUpInABatchIsInFlightUntilTheCallEnds) {
   calls.send("s-1", {message(1, kLong), message(2, kLong)});
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
   EXPECT_EQ(endpoint.got[0].request.target(), "/events/bundle");
   calls.cancel(1, 0);
   EXPECT_TRUE(ended.empty());
-  EXPECT_EQ(calls.in_flight_count(), 1u);
+  EXPECT_EQ(calls.in_flight_count(), 1U);
   calls.cancel(2, 0);
-  EXPECT_EQ(calls.in_flight_count(), 0u);
-  ASSERT_EQ(ended.size(), 2u);
+  EXPECT_EQ(calls.in_flight_count(), 0U);
+  ASSERT_EQ(ended.size(), 2U);
   for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::cancelled);
   wait_for([&] { return endpoint.sessions[0]->ended; }, "its connection is closed");
 }
 
-// What its endpoint says in time for the others holds for one whose own time was over, too.
-TEST_F(CallsTest, AnAnswerCountsForAMessageOfTheBundleThatTimedOut) {
+// A response in time for the others counts for a message whose own timeout has passed, too.
+TEST_F(DeliveryClientTest, AResponseCountsForAMessageOfTheBatchThatTimedOut) {
   const Time sent = steady_now();
   calls.send("s-1", {message(1, kSoon), message(2, kLong)});
   wait_for([&] { return endpoint.got.size() == 1 && steady_now() > sent + 2 * kSoon; }, "its time is over");
@@ -71,32 +74,32 @@
   EXPECT_EQ(ended[1].outcome, Outcome::rejected);
 }
 
-// The answer to a bundle one of whose messages is over delivers none of them, whatever it says: none may be
-// taken as delivered by it, so none is waited for any longer.
-TEST_F(CallsTest, ABundleIsGivenUpWhenTheFirstOfItsMessagesIsOver) {
+// A response after the deadline of one message delivers none of the batch, whatever it says: it is not waited
+// for beyond the first deadline.
+TEST_F(DeliveryClientTest, ABatchIsGivenUpAtTheFirstDeadlineOfItsMessages) {
   auto first = message(1, kLong);
   first.time_to_deadline = kSoon;
   calls.send("s-1", {message(2, kLong), std::move(first)});
   wait_for([&] { return endpoint.got.size() == 1; }, "the call");
   EXPECT_EQ(endpoint.got[0].request["X-Deadline"], std::to_string(kSoon) + "u");
   wait_for([&] { return endpoint.sessions[0]->ended; }, "its connection is closed");
-  ASSERT_EQ(ended.size(), 2u);
+  ASSERT_EQ(ended.size(), 2U);
   for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::timeout);
 }
 
-// Each is told once, with its own outcome, where none is answered.
-TEST_F(CallsTest, ABundleWithoutAnAnswerEndsWithItsLastTimeout) {
+// Without a response, each outcome is reported once.
+TEST_F(DeliveryClientTest, ABatchWithoutAResponseEndsWithItsLastTimeout) {
   calls.send("s-1", {message(1, kSoon), message(2, 3 * kSoon)});
   wait_for([&] { return calls.in_flight_count() == 0; }, "the call ends");
-  ASSERT_EQ(ended.size(), 2u);
+  ASSERT_EQ(ended.size(), 2U);
   for (const auto& e : ended) EXPECT_EQ(e.outcome, Outcome::timeout);
   EXPECT_GE(ended[0].latency, 3 * kSoon);
 }
 
-// A repeat whose key is forgotten while its connection comes up would run a second time: it stays out of the
-// call, which goes on with the rest. The endpoint lets no connection come up until then: the one place for
-// those it has not taken yet is taken.
-TEST_F(CallsTest, ARepeatWhoseTimeEndsBeforeItsConnectionIsUpIsNotSent) {
+// A retry whose idempotency key expires while the connection is opened would be processed a second time: it
+// is left out of the request. No connection can be opened until then, since the endpoint's backlog of one is
+// full.
+TEST_F(DeliveryClientTest, ARetryThatExpiresWhileConnectingIsNotSent) {
   tcp::acceptor full(io, tcp::v4());
   full.bind({net::ip::make_address(own_address()), 0});
   full.listen(0);
@@ -107,7 +110,7 @@
   late.start_by = steady_now() + kSoon;
   calls.send("s-2", {late, message(2, kLong)});
   wait_for([&] { return ended.size() == 1; }, "it ends");
-  EXPECT_EQ(ended[0].id, 1u);
+  EXPECT_EQ(ended[0].id, 1U);
   EXPECT_EQ(ended[0].outcome, Outcome::not_sent);
   full.accept();
   tcp::socket socket(io);
@@ -121,11 +124,11 @@
   wait_for([&] { return read; }, "the call");
   EXPECT_EQ(request.target(), "/events");
   EXPECT_EQ(request["X-Request-Id"], "m2");
-  EXPECT_EQ(ended.size(), 1u);
+  EXPECT_EQ(ended.size(), 1U);
 }
 
-// Decided in time, but held up: by a disk that took no records, say.
-TEST_F(CallsTest, ARepeatThatComesTooLateIsNotSentOnAKeptConnectionEither) {
+// Decided in time but delayed, for instance by a disk that did not take the records.
+TEST_F(DeliveryClientTest, ARetryThatIsTooLateIsNotSentOnAnIdleConnectionEither) {
   calls.send("s-1", {message(1, kLong)});
   wait_for([&] { return endpoint.got.size() == 1; }, "the first call");
   endpoint.got[0].session->answer(200);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,5 +1,5 @@
-// The list of endpoints: the stream alone against a fake agent, then the program with a list of an earlier
-// life.
+// The discovery client and the sender of final notices against a fake agent, then the program started with a
+// cached endpoint list.
 #include "platform.hpp"
 
 #include "json_stream_splitter.hpp"
@@ -10,7 +10,7 @@
 
 using dispatch::event::ListLossReason;
 
-TEST(Values, ComeWholeHoweverTheyAreBroken) {
+TEST(JsonStreamSplitterTest, ReturnsCompleteValuesHoweverTheyAreBroken) {
   const std::string first = "{\n  \"a\": \"}{ \\\" \\\\\",\n  \"b\": [\n    {}\n  ]\n}", second = "[1,[2]]";
   const std::string all = "\n \r\n" + first + "\n\n\t" + second + "\n";
   for (std::size_t size = 1; size <= all.size(); size++) {
@@ -22,11 +22,11 @@
     }
     EXPECT_EQ(got, (std::vector<std::string>{first, second})) << "in pieces of " << size;
     EXPECT_FALSE(stream.malformed());
-    EXPECT_EQ(stream.buffered_bytes(), 0u) << "empty lines are not kept";
+    EXPECT_EQ(stream.buffered_bytes(), 0U) << "empty lines are not kept";
   }
 }
 
-TEST(Values, WhatBeginsNoneIsToldAtOnce) {
+TEST(JsonStreamSplitterTest, ReportsAtOnceWhatBeginsNoValue) {
   JsonStreamSplitter stream;
   stream.append("{} what");
   EXPECT_TRUE(stream.next());
@@ -80,8 +80,8 @@
   static constexpr std::chrono::microseconds kLong = std::chrono::seconds(300), kShort{20'000};
 };
 
-// Taken line by line, the first line of an indented list would end the watch.
-TEST_F(PlatformTest, IndentedListsAreTaken) {
+// Read line by line, the first line of an indented list would end the watch.
+TEST_F(PlatformTest, IndentedListsAreRead) {
   begin(kLong, kLong);
   wait_for([&] { return asked.size() == 1; }, "the watch");
   const std::string two = "\n" + list(42) + "\n" + list(43) + "\n";
@@ -89,19 +89,19 @@
   asked[0].session->write(chunk(two.substr(60)));
   wait_for([&] { return lists.size() == 2 || !lost.empty(); }, "both lists");
   EXPECT_TRUE(lost.empty());
-  ASSERT_EQ(lists.size(), 2u);
+  ASSERT_EQ(lists.size(), 2U);
   EXPECT_EQ(lists[0].version, 42);
   EXPECT_EQ(lists[1].entries.at(0).endpoint.status, dispatch::EndpointStatus::draining);
 }
 
-// An agent that takes the call and says nothing is given up by the first patience, not by that with a watch.
-TEST_F(PlatformTest, ACallThatNobodyAnswersIsGivenUp) {
+// Where no response begins, the timeout for responses applies, not that for a watch without data.
+TEST_F(PlatformTest, AQueryWithoutAResponseTimesOut) {
   begin(kShort, kLong);
-  wait_for([&] { return !lost.empty(); }, "it is given up");
+  wait_for([&] { return !lost.empty(); }, "its timeout");
   EXPECT_EQ(lost, std::vector<ListLossReason>{ListLossReason::failed});
 }
 
-TEST_F(PlatformTest, AWatchThatFellSilentIsToldApartFromACallThatFailed) {
+TEST_F(PlatformTest, AWatchWithoutDataIsReportedAsTimedOut) {
   begin(kLong, kShort);
   wait_for([&] { return asked.size() == 1; }, "the watch");
   asked[0].session->write(kHead + chunk(list(42)));
@@ -109,8 +109,8 @@
   EXPECT_EQ(lost, std::vector<ListLossReason>{ListLossReason::timed_out});
 }
 
-// What the old address still says when discovery has moved is nobody's list any more.
-TEST_F(PlatformTest, AListThatCrossesAMoveIsNotTaken) {
+// A list that still comes from the former address after discovery has moved is dropped.
+TEST_F(PlatformTest, AListFromTheFormerAddressIsDropped) {
   Server moved(io, [this](const Got& g) { asked.push_back(g); });
   begin(kLong, kLong);
   wait_for([&] { return asked.size() == 1; }, "the watch");
@@ -125,29 +125,30 @@
   EXPECT_EQ(lists[0].version, 3);
 }
 
-// After a move the whole list is asked for where changes came alone; should that fail, it is due no later
-// than what a silent watch missed, not after the gap that follows a watch that has just broken.
-TEST_F(PlatformTest, AWholeListThatDoesNotComeAfterAMoveIsAskedForSoon) {
+// After a move, a snapshot is queried where only changes came. Should that fail, it is as overdue as what a
+// watch without data has missed, and must not wait for the backoff after a watch that has just failed.
+TEST_F(PlatformTest, ASnapshotThatFailsAfterAMoveIsReportedAsTimedOut) {
   Server moved(io, [this](const Got& g) { asked.push_back(g); });
   begin(kLong, kLong);
   platform->relocate(where(moved));
   platform->watch();
   wait_for([&] { return asked.size() == 1; }, "the watch at the new address");
   asked[0].session->write(kHead + chunk(list(3)));
-  wait_for([&] { return asked.size() == 2; }, "the whole list is asked for");
+  wait_for([&] { return asked.size() == 2; }, "the query of a snapshot");
   EXPECT_EQ(asked[1].request.target(), "/catalog/members");
   asked[1].session->close();
   wait_for([&] { return lost.size() == 2; }, "its loss");
   EXPECT_EQ(lost, (std::vector<ListLossReason>{ListLossReason::relocated, ListLossReason::timed_out}));
 }
 
-// A kept connection falls silent just as a notice is written to it: it goes on a new one, long before the
-// second after which its message would be lost. A try counts for nothing where the machine stood still
-// meanwhile.
-TEST_F(PlatformTest, ANoticeOnAConnectionThatFellSilentGoesOnANewOne) {
+// An idle connection falls silent just as a notice is written to it: the notice is sent on a new one, long
+// before the second after which its message would be lost. A run counts for nothing where the machine stood
+// still meanwhile.
+TEST_F(PlatformTest, ANoticeOnASilentConnectionIsRetriedOnANewOne) {
   bool in_time = false;
-  for (int tries = 0; tries < 20 && !in_time; tries++) {
-    asked.clear(), lost.clear();
+  for (int attempt = 0; attempt < 20 && !in_time; attempt++) {
+    asked.clear();
+    lost.clear();
     agent.on_request([&](const Got& g) {
       if (g.request.method() == http::verb::post) asked.push_back(g);
     });
@@ -168,29 +169,33 @@
 }
 
 // ---- The program. ----
-class OldListTest : public RelayTest {
+class CachedListTest : public RelayTest {
  protected:
-  OldListTest() { list_mode = "automatic", relays = 300; }
-  // A life that takes on m1 while no endpoint may be sent anything, and its end.
-  void leave_one_untried() {
+  CachedListTest() {
+    list_mode = "automatic";
+    relays = 300;
+  }
+  // Runs a process that accepts m1 while no endpoint may be sent anything, and ends it.
+  void leave_one_unattempted() {
     members = member("s-1", endpoint.address(), "draining");
     spawn(config());
     wait_for([&] { return logged().find("leaving: s-1") != std::string::npos; }, "its list");
-    EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+    EXPECT_EQ(hand_in("m1", "load-status"), 202U);
     kill_relay();
     members = member("s-1", endpoint.address());
   }
 };
 
-// While a process was down its endpoint was announced as leaving. What it finds taken on waits for the
-// agent's list. Told within its hold, that is: a machine too slow for that shows in the log and plays again.
-TEST_F(OldListTest, NothingIsSentByItBeforeTheAgentsListHasCome) {
+// While a process was down, its endpoint was announced as draining. The messages that it recovers wait for
+// the agent's list, provided that it comes within the hold time: a machine too slow for that shows in the
+// log, and the test runs again.
+TEST_F(CachedListTest, RecoveredMessagesWaitForTheAgentsList) {
   Server other(io, answer_ok);
-  for (int tries = 0; tries < 50; tries++) {
+  for (int attempt = 0; attempt < 50; attempt++) {
     std::filesystem::remove_all(folder + "/state");
     std::filesystem::create_directories(folder + "/state");
     platform.on_request([this](const Got& g) { on_platform(g); });
-    leave_one_untried();
+    leave_one_unattempted();
     std::filesystem::remove(folder + "/log");
     platform.on_request([&](const Got& g) {
       g.session->write(kHead + chunk(list(member("s-1", endpoint.address(), "draining") + "," +
@@ -203,24 +208,24 @@
     kill_relay();
   }
   EXPECT_EQ(logged().find("no list yet"), std::string::npos);
-  EXPECT_TRUE(endpoint.got.empty()) << "it went to what was leaving";
+  EXPECT_TRUE(endpoint.got.empty()) << "it was sent to a draining endpoint";
   ASSERT_FALSE(other.got.empty());
   EXPECT_EQ(other.got[0].request["X-Request-Id"], "m1");
 }
 
-// While discovery is down the agent says nothing: service goes on by what is known.
-TEST_F(OldListTest, ServesWhereTheAgentStaysSilent) {
+// While discovery is down the agent does not respond: the cached list is used.
+TEST_F(CachedListTest, IsUsedWhileTheAgentDoesNotRespond) {
   platform.on_request(stay_silent);
   start();
-  EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+  EXPECT_EQ(hand_in("m1", "load-status"), 202U);
   wait_for([&] { return !endpoint.got.empty(); }, "the call");
   EXPECT_NE(logged().find("no list yet"), std::string::npos);
   wait_for([&] { return platform.got.size() >= 3; }, "the agent is asked on");
 }
 
-// The configuration moves discovery while the first call for the list is still unanswered: it is asked for at
-// the new address at once, and what the old one says then is not taken.
-TEST_F(OldListTest, AMoveThatCrossesTheFirstCallForTheListIsFollowed) {
+// The configuration moves discovery while the first watch has no response yet: a watch at the new address is
+// begun at once, and a list from the former one is dropped.
+TEST_F(CachedListTest, AMoveDuringTheFirstWatchIsFollowed) {
   Server other(io, answer_ok);
   Server moved(io,
                [&](const Got& g) { g.session->write(kHead + chunk(list(member("s-2", other.address())))); });
@@ -232,14 +237,14 @@
   wait_for([&] { return logged().find("whole, 1 endpoints") != std::string::npos; },
            "the new address's list");
   first->write(kHead + chunk(list(member("s-1", endpoint.address()))));
-  EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+  EXPECT_EQ(hand_in("m1", "load-status"), 202U);
   wait_for([&] { return !other.got.empty() || !endpoint.got.empty(); }, "the call");
   EXPECT_TRUE(endpoint.got.empty()) << "the new list does not name it";
 }
 
-// Through an outage the agent takes calls and says nothing. What it has at its return binds at once, so the
-// call that meets it there brings it.
-TEST_F(OldListTest, WhatTheAgentHasAtItsReturnIsAskedForSoon) {
+// During an outage the agent accepts connections and does not respond. The list it has at its return is
+// binding at once, so it must be queried soon.
+TEST_F(CachedListTest, TheAgentsListIsQueriedSoonAfterAnOutage) {
   Server other(io, answer_ok);
   start();
   wait_for([&] { return watches.size() == 1; }, "the watch");
@@ -247,16 +252,16 @@
   const auto before = platform.got.size();
   watches[0]->close();
   wait_for([&] { return platform.got.size() >= before + 3; }, "calls for the list through the outage");
-  EXPECT_EQ(hand_in("m1", "load-status"), 202u);
+  EXPECT_EQ(hand_in("m1", "load-status"), 202U);
   wait_for([&] { return endpoint.got.size() == 1; }, "service by what is known");
   platform.on_request([&](const Got& g) {
     g.session->write(kHead + chunk(list(member("s-1", endpoint.address(), "draining") + "," +
                                         member("s-2", other.address()))));
   });
   wait_for([&] { return logged().find("leaving: s-1") != std::string::npos; }, "the list at its return");
-  EXPECT_EQ(hand_in("m2", "load-status"), 202u);
+  EXPECT_EQ(hand_in("m2", "load-status"), 202U);
   wait_for([&] { return !other.got.empty(); }, "the call goes elsewhere");
-  EXPECT_EQ(endpoint.got.size(), 1u);
+  EXPECT_EQ(endpoint.got.size(), 1U);
 }
 
 }  // namespace
