Name the parts of metrics, log, binary format and endpoint list

Cause: short names, pairs in place of types, one long function for a list's entry. Change: CompletedId in place of a pair, a function for a listed endpoint, metrics counted by a switch, doc comments on each item. BinaryWriter and BinaryReader take numbers and enumerations only. Forms, names and log texts are unchanged.

--- a/relay/binary_format.hpp
+++ b/relay/binary_format.hpp
@@ -1,5 +1,7 @@
-// Fields in a row as bytes, for the journal and for what a process hands over. Integers are little-endian, as
-// the machine has them.
+// Fields in a row as bytes, for the journal and for what a process hands over.
+//
+// Numbers are little-endian and of the size of their type, as the machine has them; a text is its size in 32
+// bits, then its bytes. Both uses are read by other builds: the form must not change.
 #pragma once
 
 #include <bit>
@@ -7,6 +9,7 @@
 #include <cstring>
 #include <stdexcept>
 #include <string>
+#include <type_traits>
 
 namespace message_relay {
 
@@ -14,45 +17,51 @@
 
 class BinaryWriter {
  public:
-  template <class T>
-  BinaryWriter& number(T v) {
-    text_.append(reinterpret_cast<const char*>(&v), sizeof v);
+  template <class Number>
+  BinaryWriter& number(Number value) {
+    static_assert(std::is_arithmetic_v<Number> || std::is_enum_v<Number>);
+    payload_.append(reinterpret_cast<const char*>(&value), sizeof value);
     return *this;
   }
-  BinaryWriter& text(const std::string& s) {
-    number(static_cast<std::uint32_t>(s.size()));
-    text_ += s;
+  BinaryWriter& text(const std::string& value) {
+    number(static_cast<std::uint32_t>(value.size()));
+    payload_ += value;
     return *this;
   }
-  const std::string& payload() const { return text_; }
+  [[nodiscard]] const std::string& payload() const { return payload_; }
 
  private:
-  std::string text_;
+  std::string payload_;
 };
 
-// Throws std::runtime_error where less stands there than is asked for.
+// Reads fields in the order in which they were written. Throws std::runtime_error where fewer bytes are left
+// than a field needs. `payload` must outlive the reader.
 class BinaryReader {
  public:
-  explicit BinaryReader(const std::string& text) : text_(text) {}
-  template <class T>
-  T number() {
-    T v;
-    std::memcpy(&v, bytes(sizeof v), sizeof v);
-    return v;
+  explicit BinaryReader(const std::string& payload) : payload_(payload) {}
+
+  template <class Number>
+  Number number() {
+    static_assert(std::is_arithmetic_v<Number> || std::is_enum_v<Number>);
+    Number value;
+    std::memcpy(&value, take(sizeof value), sizeof value);
+    return value;
   }
   std::string text() {
     const auto size = number<std::uint32_t>();
-    return {bytes(size), size};
+    return {take(size), size};
   }
 
  private:
-  const char* bytes(std::size_t n) {
-    if (text_.size() - at_ < n) throw std::runtime_error("short record");
-    at_ += n;
-    return text_.data() + at_ - n;
+  const char* take(std::size_t size) {
+    if (payload_.size() - position_ < size) throw std::runtime_error("short record");
+    const char* bytes = payload_.data() + position_;
+    position_ += size;
+    return bytes;
   }
-  const std::string& text_;
-  std::size_t at_ = 0;
+
+  const std::string& payload_;
+  std::size_t position_ = 0;
 };
 
 }  // namespace message_relay
--- a/relay/endpoint_list.cpp
+++ b/relay/endpoint_list.cpp
@@ -9,6 +9,36 @@
 using namespace configuration;
 using dispatch::EndpointStatus;
 
+namespace {
+
+// From wall time in milliseconds to the steady clock; 0 stays 0: long ago.
+Time to_steady_time(std::int64_t wall_milliseconds) {
+  const Time wall = 1000 * wall_milliseconds;
+  return wall == 0 ? 0 : steady_now() - (wall_now() - wall);
+}
+
+ListedEndpoint read_listed_endpoint(const JsonValue& value, const std::string& path,
+                                    const SettingNames& names) {
+  as_object(value, path);
+  ListedEndpoint listed;
+  dispatch::Endpoint& endpoint = listed.endpoint;
+  endpoint.id = read_member(value, "name", path, as_string);
+  endpoint.status = parse_enum<EndpointStatus>(read_member(value, "status", path, as_string),
+                                               {{"ready", EndpointStatus::active},
+                                                {"draining", EndpointStatus::draining},
+                                                {"gone", EndpointStatus::removed}},
+                                               path + ".status");
+  endpoint.destination = read_member(value, "group", path, as_integer);
+  endpoint.zone = index_of(names.zones, read_member(value, "zone", path, as_string, ""));
+  endpoint.kind = index_of(names.kinds, read_member(value, "type", path, as_string, ""));
+  endpoint.weight = read_member(value, "weight", path, as_double, 1.0);
+  endpoint.added_at = to_steady_time(read_member(value, "since_ms", path, as_integer, 0));
+  listed.address = read_address(read_member(value, "address", path, as_string), path + ".address");
+  return listed;
+}
+
+}  // namespace
+
 boost::asio::ip::tcp::endpoint read_address(const std::string& text, const std::string& path) {
   const auto colon = text.rfind(':');
   if (colon == std::string::npos) throw_field_error(path, "must be address:port");
@@ -26,30 +56,15 @@
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
-EndpointList read_endpoint_list(const JsonValue& v, const std::string& path, const SettingNames& names) {
-  as_object(v, path);
+EndpointList read_endpoint_list(const JsonValue& value, const std::string& path, const SettingNames& names) {
+  as_object(value, path);
   EndpointList list;
-  list.version = read_member(v, "index", path, as_integer);
-  list.is_snapshot = read_member(v, "snapshot", path, as_bool);
-  const std::string where = path + ".endpoints";
-  for (const auto& e : as_array(required_member(v, "endpoints", path), where).GetArray()) {
-    as_object(e, where);
-    ListedEndpoint m;
-    m.endpoint.id = read_member(e, "name", where, as_string);
-    m.endpoint.status = parse_enum<EndpointStatus>(read_member(e, "status", where, as_string),
-                                                   {{"ready", EndpointStatus::active},
-                                                    {"draining", EndpointStatus::draining},
-                                                    {"gone", EndpointStatus::removed}},
-                                                   where + ".status");
-    m.endpoint.destination = read_member(e, "group", where, as_integer);
-    m.endpoint.zone = index_of(names.zones, read_member(e, "zone", where, as_string, ""));
-    m.endpoint.kind = index_of(names.kinds, read_member(e, "type", where, as_string, ""));
-    m.endpoint.weight = read_member(e, "weight", where, as_double, 1.0);
-    const Time since = 1000 * read_member(e, "since_ms", where, as_integer, 0);
-    m.endpoint.added_at = since == 0 ? 0 : steady_now() - (wall_now() - since);
-    m.address = read_address(read_member(e, "address", where, as_string), where + ".address");
-    list.entries.push_back(std::move(m));
-  }
+  list.version = read_member(value, "index", path, as_integer);
+  list.is_snapshot = read_member(value, "snapshot", path, as_bool);
+  const std::string entries_path = path + ".endpoints";
+  const JsonValue& entries = as_array(required_member(value, "endpoints", path), entries_path);
+  for (const JsonValue& entry : entries.GetArray())
+    list.entries.push_back(read_listed_endpoint(entry, entries_path, names));
   return list;
 }
 
--- a/relay/handover_state.cpp
+++ b/relay/handover_state.cpp
@@ -1,6 +1,7 @@
 #include "handover_state.hpp"
 
 #include <optional>
+#include <utility>
 
 namespace message_relay {
 
@@ -96,7 +97,8 @@
   write_count(record, state.destinations);
   for (const std::int64_t destination : state.destinations) record.number(destination);
   write_count(record, state.completed_ids);
-  for (const auto& [until, id] : state.completed_ids) record.number(until).text(id);
+  for (const CompletedId& completed : state.completed_ids)
+    record.number(completed.forget_at).text(completed.id);
   return record.payload();
 }
 
@@ -111,8 +113,10 @@
   read_list(in, [&] { state.ever_listed.push_back(in.text()); });
   read_list(in, [&] { state.destinations.push_back(in.number<std::int64_t>()); });
   read_list(in, [&] {
-    const auto until = in.number<Time>();
-    state.completed_ids.emplace_back(until, in.text());
+    CompletedId completed;
+    completed.forget_at = in.number<Time>();
+    completed.id = in.text();
+    state.completed_ids.push_back(std::move(completed));
   });
 }
 
--- a/relay/handover_state.hpp
+++ b/relay/handover_state.hpp
@@ -5,11 +5,11 @@
 
 #include <cstdint>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "binary_format.hpp"
 #include "clock.hpp"
+#include "completed_ids.hpp"
 #include "delivery_client.hpp"
 #include "endpoint_list.hpp"
 #include "ingress_server.hpp"
@@ -25,8 +25,8 @@
   MessageId next_number = 1;
   std::string learned_state;  // by the dispatcher
   std::vector<std::string> ever_listed;
-  std::vector<std::int64_t> destinations;                   // that any list has named
-  std::vector<std::pair<Time, std::string>> completed_ids;  // until when each is remembered
+  std::vector<std::int64_t> destinations;  // that any list has named
+  std::vector<CompletedId> completed_ids;
   std::vector<IdleClient> clients;
   std::vector<InFlightCall> calls;
   int listener = -1;
--- a/relay/log.cpp
+++ b/relay/log.cpp
@@ -1,29 +1,40 @@
 #include "log.hpp"
 
+#include <chrono>
 #include <cstdio>
 
 #include "clock.hpp"
 
 namespace message_relay {
 
+namespace {
+
+constexpr auto kCountInterval = std::chrono::seconds(1);
+constexpr Time kMicrosecondsPerSecond = 1'000'000;
+
+}  // namespace
+
 void log(const std::string& line) {
   const Time now = wall_now();
-  std::fprintf(stderr, "%lld.%06lld %s\n", static_cast<long long>(now / 1'000'000),
-               static_cast<long long>(now % 1'000'000), line.c_str());
+  std::fprintf(stderr, "%lld.%06lld %s\n", static_cast<long long>(now / kMicrosecondsPerSecond),
+               static_cast<long long>(now % kMicrosecondsPerSecond), line.c_str());
 }
 
-void CountingLog::count(const char* why) {
-  const bool waiting = !counts_.empty();
-  counts_[why]++;
-  if (waiting) return;
-  timer_.expires_after(std::chrono::seconds(1));
+void CountingLog::count(const char* reason) {
+  const bool line_is_due = !counts_.empty();
+  counts_[reason]++;
+  if (line_is_due) return;
+  timer_.expires_after(kCountInterval);
   timer_.async_wait([this](boost::system::error_code bad) {
-    if (bad) return;
-    std::string line = what_ + ":";
-    for (const auto& [reason, n] : counts_) line += " " + reason + " (" + std::to_string(n) + ")";
-    counts_.clear();
-    log(line);
+    if (!bad) write_counts();
   });
 }
 
+void CountingLog::write_counts() {
+  std::string line = subject_ + ":";
+  for (const auto& [reason, count] : counts_) line += " " + reason + " (" + std::to_string(count) + ")";
+  counts_.clear();
+  log(line);
+}
+
 }  // namespace message_relay
--- a/relay/message_registry.cpp
+++ b/relay/message_registry.cpp
@@ -11,8 +11,7 @@
 MessageRegistry::MessageRegistry(Journal& journal, Metrics& metrics, Time retention)
     : journal_(journal), metrics_(metrics), completed_ids_(retention) {}
 
-void MessageRegistry::restore(MessageId next_id,
-                              const std::vector<std::pair<Time, std::string>>& completed_ids) {
+void MessageRegistry::restore(MessageId next_id, const std::vector<CompletedId>& completed_ids) {
   next_id_ = next_id;
   completed_ids_.restore(completed_ids);
 }
--- a/relay/message_registry.hpp
+++ b/relay/message_registry.hpp
@@ -7,7 +7,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include "completed_ids.hpp"
@@ -28,7 +27,7 @@
   MessageRegistry(Journal& journal, Metrics& metrics, Time retention);
 
   // What another process handed over, besides its journal.
-  void restore(MessageId next_id, const std::vector<std::pair<Time, std::string>>& completed_ids);
+  void restore(MessageId next_id, const std::vector<CompletedId>& completed_ids);
   // Takes in the messages that the journal holds.
   void index_journal();
 
--- a/relay/metrics.cpp
+++ b/relay/metrics.cpp
@@ -2,34 +2,47 @@
 
 namespace message_relay {
 
+namespace {
+
+std::string render_line(const std::string& name, std::uint64_t value) {
+  return "svc." + name + "=" + std::to_string(value) + "\n";
+}
+
+}  // namespace
+
 Metrics::Metrics(const configuration::NameIndex& classes) {
-  for (const auto& [name, position] : classes) ends_[name];
+  for (const auto& [name, position] : classes) counts_[name];
 }
 
-void Metrics::count(const std::string& message_class, Completion end) {
-  const auto it = ends_.find(message_class);
-  if (it == ends_.end()) return;  // of a class that the settings no longer have
-  auto& of_class = it->second;
-  (end == Completion::succeeded  ? of_class.succeeded
-   : end == Completion::declined ? of_class.declined
-                                 : of_class.aborted)++;
+void Metrics::count(const std::string& message_class, Completion completion) {
+  const auto entry = counts_.find(message_class);
+  if (entry == counts_.end()) return;
+  CompletionCounts& counts = entry->second;
+  switch (completion) {
+    case Completion::succeeded:
+      counts.succeeded++;
+      break;
+    case Completion::declined:
+      counts.declined++;
+      break;
+    case Completion::aborted:
+      counts.aborted++;
+      break;
+  }
 }
 
-std::string Metrics::render(const Gauges& present) const {
-  std::string all;
-  const auto line = [&all](const std::string& name, std::uint64_t n) {
-    all += "svc." + name + "=" + std::to_string(n) + "\n";
-  };
-  for (const auto& [name, ends] : ends_) {
-    line("succeeded." + name, ends.succeeded);
-    line("declined." + name, ends.declined);
-    line("aborted." + name, ends.aborted);
+std::string Metrics::render(const Gauges& gauges) const {
+  std::string lines;
+  for (const auto& [name, counts] : counts_) {
+    lines += render_line("succeeded." + name, counts.succeeded);
+    lines += render_line("declined." + name, counts.declined);
+    lines += render_line("aborted." + name, counts.aborted);
   }
-  line("forwards", present.forwards);
-  line("outstanding", present.outstanding);
-  line("discovered", present.discovered);
-  line("ejected", present.ejected);
-  return all;
+  lines += render_line("forwards", gauges.forwards);
+  lines += render_line("outstanding", gauges.outstanding);
+  lines += render_line("discovered", gauges.discovered);
+  lines += render_line("ejected", gauges.ejected);
+  return lines;
 }
 
 }  // namespace message_relay
