--- a/relay/handover_channel.cpp
+++ b/relay/handover_channel.cpp
@@ -76,7 +76,9 @@
 bool HandoverChannel::read(char* bytes, std::size_t size, FileDescriptor* fd) {
   ControlBuffer control;
   for (std::size_t done = 0; done < size;) {
-    iovec remaining{bytes + done, size - done};
+    iovec remaining{};
+    remaining.iov_base = bytes + done;
+    remaining.iov_len = size - done;
     msghdr message{};
     message.msg_iov = &remaining;
     message.msg_iovlen = 1;
