--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -38,14 +38,18 @@
 
 // Joins the relays, the destinations and the network between them: carries out the actions of the dispatchers
 // and the events of the queue.
-// Invariant: `running_relays_` are the indices of the relays that are up.
+// Invariant: `now_` is the time of the event that is carried out and never goes back; `running_relays_` are
+// the indices of the relays that are up.
 class Fleet {
  public:
+  // Builds everything and starts the relays. `progress` must outlive this.
   Fleet(const FleetSettings& settings, const std::function<void(double)>& progress);
-  FleetResult run();
+  // Carries out all events. May be called once.
+  [[nodiscard]] FleetResult run();
 
  private:
-  std::vector<Destination> make_destinations();
+  // Draws the destinations and adds their endpoints to the directory.
+  [[nodiscard]] std::vector<Destination> make_destinations();
   void add_endpoints(DestinationIndex destination);
   void schedule_faults();
 
--- a/scale/fleet_experiment.cpp
+++ b/scale/fleet_experiment.cpp
@@ -12,7 +12,7 @@
 constexpr double kMaxPositive = 3'600;
 constexpr double kMaxNonNegative = 1e6;
 
-// A key of the file and the setting that it stands for.
+// A key of the file, which is an interface and keeps its name, and the setting that it stands for.
 struct NumberKey {
   const char* key;
   double& value;
--- a/scale/slopes.hpp
+++ b/scale/slopes.hpp
@@ -36,7 +36,7 @@
   void add_medians(SizeKind kind, std::int64_t size, const std::function<Costs()>& measure);
   // Reports a value that belongs to no line.
   void report_value(SizeKind kind, std::int64_t size, const Cost& cost);
-  // The lines are to tell, too, at what size this cost reaches `max_value`. 0: not known, nothing is told.
+  // Has report_lines() report the size, too, at which this cost reaches `max_value`. 0: not known, no report.
   void report_size_reaching(SizeKind kind, const std::string& cost_name, double max_value);
   // Reports the lines through all series.
   void report_lines();
