--- a/relay/operator_server.cpp
+++ b/relay/operator_server.cpp
@@ -169,10 +169,11 @@
   bool closed_ = false;
 };
 
+// NOLINTNEXTLINE(modernize-pass-by-value): an address is bytes; moving it is a copy
 OperatorServer::OperatorServer(net::io_context& io, const tcp::endpoint& address, std::size_t max_sessions,
                                Handler handler)
     : io_(io),
-      address_(address),  // NOLINT(modernize-pass-by-value): an endpoint is bytes; moving it is a copy
+      address_(address),
       acceptor_(io),
       retry_timer_(io),
       max_sessions_(max_sessions),
