--- a/scale/slopes_settings.hpp
+++ b/scale/slopes_settings.hpp
@@ -51,7 +51,7 @@
   double target_messages_per_second = 208;
   double target_memory_bytes = 64e6;
   double target_restart_seconds = 10;
-  std::int64_t max_list_bytes = 4 << 20;  // kMostList of relay/platform.cpp
+  std::int64_t max_list_bytes = 4 << 20;  // kMaxListBytes of relay/discovery_client.cpp
 
   // Throws BadInput naming the file, the line and the key.
   void read(Experiment& experiment);
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -252,8 +252,11 @@
     } else if (line.name == kLowRateLine) {
       restore_fields(line, low_rate_pacer.record());
     } else if (line.name == kDestinationLine) {
-      for (auto& [id, destination] : directory.destinations())
-        if (std::to_string(id) == line.subject) restore_fields(line, destination.scope);
+      auto& destinations = directory.destinations();
+      const auto named = std::find_if(destinations.begin(), destinations.end(), [&line](const auto& entry) {
+        return std::to_string(entry.first) == line.subject;
+      });
+      if (named != destinations.end()) restore_fields(line, named->second.scope);
     } else if (line.name == kEndpointLine) {
       EndpointState* const endpoint = directory.find(line.subject);
       if (endpoint != nullptr) restore_fields(line, *endpoint);
