--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -71,7 +71,8 @@
   }
   keys_of_next_.reset();
   reserved_bytes_ += reserved_bytes(journaled.message);
-  messages_.insert_or_assign(record.number, std::move(journaled));
+  // Most numbers in a file grow: the end is the place to look first.
+  messages_.insert_or_assign(messages_.end(), record.number, std::move(journaled));
 }
 
 void Journal::apply(MessageKeysRecord&& record) { keys_of_next_ = std::move(record); }
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -78,16 +78,19 @@
              !endpoint.health.remembers_outage(round) &&
              endpoint.own_scope.limiter.retry_after_until() <= round.now();
     };
+    bool destinations_removed = false;
     for (auto it = destinations_.begin(); it != destinations_.end();) {
       DestinationState& destination = it->second;
       std::erase_if(destination.endpoints,
                     [&](const EndpointState* endpoint) { return is_unused(*endpoint); });
       const bool done =
           destination.endpoints.empty() && destination.scope.limiter.retry_after_until() <= round.now();
+      destinations_removed = destinations_removed || done;
       it = done ? destinations_.erase(it) : std::next(it);
     }
     std::erase_if(endpoints_, [&](const auto& entry) { return is_unused(entry.second); });
     // An endpoint that was moved to another destination is not among its endpoints, and may outlive it.
+    if (!destinations_removed) return;
     for (auto& [id, endpoint] : endpoints_) endpoint.destination = nullptr;
   }
 
--- a/src/latency_estimator.hpp
+++ b/src/latency_estimator.hpp
@@ -20,17 +20,18 @@
 /// one follows answers slowly.
 class LatencyEstimator {
  public:
+  /// The parameters must outlive it; endpoints are many, and all share one set.
   explicit LatencyEstimator(const LatencyEstimatorParameters& parameters)
-      : parameters_(parameters), recent_(parameters.initial) {}
+      : parameters_(&parameters), recent_(parameters.initial) {}
 
   double recent() const { return recent_; }
   /// Returns the latency in typical ones, as they were before it.
   double add_answer(double latency) {
-    recent_ += parameters_.recent_gain * (latency - recent_);
+    recent_ += parameters_->recent_gain * (latency - recent_);
     if (typical_ == 0) typical_ = latency;
     const double relative =
-        std::min(latency / std::max(typical_, parameters_.min_typical), parameters_.max_relative);
-    typical_ += parameters_.typical_gain * (latency - typical_);
+        std::min(latency / std::max(typical_, parameters_->min_typical), parameters_->max_relative);
+    typical_ += parameters_->typical_gain * (latency - typical_);
     return relative;
   }
   /// A call was given up after that time: the recent latency is at least as long, but at most doubles.
@@ -42,7 +43,7 @@
   }
 
  private:
-  LatencyEstimatorParameters parameters_;
+  const LatencyEstimatorParameters* parameters_;
   double recent_;
   double typical_ = 0;
 };
--- a/src/use_gap_estimator.hpp
+++ b/src/use_gap_estimator.hpp
@@ -17,14 +17,15 @@
 /// The average gap from the begin or end of a call to the begin of the next one.
 class UseGapEstimator {
  public:
-  explicit UseGapEstimator(const UseGapEstimatorParameters& parameters) : parameters_(parameters) {}
+  /// The parameters must outlive it; endpoints are many, and all share one set.
+  explicit UseGapEstimator(const UseGapEstimatorParameters& parameters) : parameters_(&parameters) {}
 
   /// Before the first call the average is that many seconds.
   void start(double mean) { mean_ = mean; }
   void on_call_begun(Time now) {
     if (used_at_ > -kNever) {
-      const double gap = std::min(seconds(now - used_at_), parameters_.max_gap);
-      mean_ += parameters_.gain * (gap - mean_);
+      const double gap = std::min(seconds(now - used_at_), parameters_->max_gap);
+      mean_ += parameters_->gain * (gap - mean_);
     }
     used_at_ = now;
   }
@@ -37,7 +38,7 @@
   }
 
  private:
-  UseGapEstimatorParameters parameters_;
+  const UseGapEstimatorParameters* parameters_;
   double mean_ = 0;         // seconds
   Time used_at_ = -kNever;  // the last time a call began or ended
 };
