--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -69,14 +69,14 @@
   EXPECT_EQ(ask("GET /load-status HTTP/1.1\r\n\r\n"), 405U);
   EXPECT_EQ(hand_in("m1", kSafe, "x", "soon"), 400U);
   EXPECT_EQ(hand_in("m1", kSafe, "x", "-5m"), 400U);
-  EXPECT_EQ(hand_in("m1", kSafe, std::string(65 * 1024, 'x')), 413U);
+  EXPECT_EQ(hand_in("m1", kSafe, std::string(std::size_t{65} * 1024, 'x')), 413U);
   EXPECT_EQ(ask("GET /_health HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n"), 400U);
   connect()->write("POST /load-status HT");  // a slow one, never done
   const auto half = connect();
   half->write(request("m2", kSafe).substr(0, 80));
   half->end_sending();
   wait_for([&] { return half->ended; }, "half a request is dropped");
-  EXPECT_EQ(hand_in("m3", kSafe, std::string(64 * 1024, 'x')), 202U);
+  EXPECT_EQ(hand_in("m3", kSafe, std::string(std::size_t{64} * 1024, 'x')), 202U);
   wait_for([&] { return !endpoint.got.empty(); }, "the call");
   EXPECT_EQ(endpoint.got[0].request["X-Request-Id"], "m3");
 }
@@ -1004,14 +1004,14 @@
   std::string limits() override { return R"({"cores":1.0,"memory_mb":32,"sockets":256,"disk_mb":64})"; }
 };
 TEST_F(LargeDiskTest, IsReadyWithAFullJournalAndNoList) {
-  constexpr std::uint64_t kDisk = 64'000'000;
+  constexpr std::uint64_t disk_bytes = 64'000'000;
   {
-    Journal journal(folder + "/state", kDisk);
+    Journal journal(folder + "/state", disk_bytes);
     Message m;
     m.id = "held", m.message_class = kUnsafe, m.destination = 7, m.deadline = wall_now() + 600'000'000;
     journal.record_message(1, m);
     m.body = std::string(60'000, 'x');
-    for (MessageId id = 2; journal.bytes_on_disk() < kDisk / 100 * 95; id++) {
+    for (MessageId id = 2; journal.bytes_on_disk() < disk_bytes / 100 * 95; id++) {
       m.id = "over" + std::to_string(id);
       journal.record_message(id, m), journal.record_completed(id);
       ASSERT_TRUE(journal.commit());
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -9,7 +9,7 @@
   const auto id = r.arrive(kSafe, 99);  // a destination with no endpoint
   r.run_to(10 * kS);
   ASSERT_EQ(r.refused.count(id) + r.failed.count(id), 1U);
-  const Time at = r.refused.count(id) ? r.refused[id] : r.failed[id];
+  const Time at = r.refused.contains(id) ? r.refused[id] : r.failed[id];
   EXPECT_LE(at, 1 * kS + 6 * kS + 20 * kMs);
   EXPECT_EQ(r.sends_of(id), 0);
 }
