--- a/relay/binary_format.hpp
+++ b/relay/binary_format.hpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <type_traits>
 
 namespace message_relay {
@@ -38,7 +39,7 @@
 // than a field needs. `payload` must outlive the reader.
 class BinaryReader {
  public:
-  explicit BinaryReader(const std::string& payload) : payload_(payload) {}
+  explicit BinaryReader(std::string_view payload) : payload_(payload) {}
 
   template <class Number>
   Number number() {
@@ -60,7 +61,7 @@
     return bytes;
   }
 
-  const std::string& payload_;
+  std::string_view payload_;  // must outlive the reader
   std::size_t position_ = 0;
 };
 
--- a/relay/journal_reader.cpp
+++ b/relay/journal_reader.cpp
@@ -27,7 +27,7 @@
   if (header.payload_size > kMaxPayloadBytes) return std::nullopt;
   const auto payload = next_bytes(header.payload_size);
   if (!payload || checksum_of(*payload) != header.checksum) return std::nullopt;
-  auto record = decode(std::string(*payload));
+  auto record = decode(*payload);
   if (record) position_ += kFrameHeaderBytes + header.payload_size;
   return record;
 }
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -212,7 +212,7 @@
   return crc.checksum();
 }
 
-std::optional<JournalRecord> decode(const std::string& payload) {
+std::optional<JournalRecord> decode(std::string_view payload) {
   BinaryReader reader(payload);
   try {
     return decode_fields(reader);
--- a/relay/journal_records.hpp
+++ b/relay/journal_records.hpp
@@ -96,6 +96,6 @@
 [[nodiscard]] std::uint32_t checksum_of(std::string_view payload);
 
 // The record in a payload; nothing where the payload is too short for its kind.
-[[nodiscard]] std::optional<JournalRecord> decode(const std::string& payload);
+[[nodiscard]] std::optional<JournalRecord> decode(std::string_view payload);
 
 }  // namespace message_relay
