Teach the fleet emulator outages that hang, shut, fail or refuse, and isolated resets

The emulator's outages were connections that never come up. Outages in which calls are accepted and not answered, rejected, answered with errors or refused at once were never simulated, so nothing could be said of the slow start after them.

New keys of an experiment: outage = unreachable, refused, hung, shut or failing; reset_part.

--- a/scale/experiment.cpp
+++ b/scale/experiment.cpp
@@ -1,5 +1,6 @@
 #include "experiment.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <sstream>
 
@@ -99,6 +100,20 @@
   value = *flag;
 }
 
+void ExperimentTable::read_choice(const std::string& key, std::size_t& position,
+                                  const std::vector<std::string>& choices) {
+  const toml::node* node = find(key);
+  if (node == nullptr) return;
+  const std::optional<std::string> text = node->value_exact<std::string>();
+  const auto found = text ? std::find(choices.begin(), choices.end(), *text) : choices.end();
+  if (found == choices.end()) {
+    std::string names;
+    for (const std::string& choice : choices) names += (names.empty() ? "" : ", ") + choice;
+    throw_error(*node, key, "must be one of " + names);
+  }
+  position = static_cast<std::size_t>(found - choices.begin());
+}
+
 void ExperimentTable::check_all_keys_read() const {
   if (table_ == nullptr) return;
   for (const auto& [key, node] : *table_) {
--- a/scale/experiment.hpp
+++ b/scale/experiment.hpp
@@ -37,6 +37,8 @@
   void read(const std::string& key, std::int64_t& value, std::int64_t min, std::int64_t max);
   void read(const std::string& key, std::vector<std::int64_t>& values, std::int64_t min, std::int64_t max);
   void read(const std::string& key, bool& value);
+  // Stores the position of the key's text among `choices`.
+  void read_choice(const std::string& key, std::size_t& position, const std::vector<std::string>& choices);
   // Throws BadInput for a value that is invalid for a reason other than its type and range.
   [[noreturn]] void throw_invalid(const std::string& key, const std::string& problem) const;
   // Throws BadInput if the table has a key that was not read. Guards against a misspelt key, whose setting
--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -319,13 +319,15 @@
 void Fleet::handle(const CallArrival& arrival) {
   const Call* call = calls_.find(arrival.call);
   if (call == nullptr) return;
-  const CallReply reply = destination_of(call->endpoint).receive_call(now_, call->relay, random_);
-  if (reply.outcome == Outcome::rejected) statistics_.record_call_rejected(now_);
-  calls_.set_reply(arrival.call, reply);
+  const std::optional<CallReply> reply =
+      destination_of(call->endpoint).receive_call(now_, call->relay, random_);
+  if (!reply) return;
+  if (reply->outcome == Outcome::rejected) statistics_.record_call_rejected(now_);
+  calls_.set_reply(arrival.call, *reply);
   // The relay measures the connect timeout from the time at which it sent the call.
-  const Time reply_at = reply.outcome == Outcome::connect_failed
-                            ? call->sent_at + kConnectTimeout
-                            : now_ + reply.processing_time + network_delay(call->relay, call->endpoint);
+  const Time reply_at = reply->outcome == Outcome::connect_failed && reply->processing_time > 0
+                            ? call->sent_at + reply->processing_time
+                            : now_ + reply->processing_time + network_delay(call->relay, call->endpoint);
   queue_.schedule(reply_at, ReplyArrival{arrival.call});
 }
 
@@ -381,8 +383,10 @@
 void Fleet::handle(const OutageStart&) {
   const DestinationIndex destination = random_.index(destinations_.size());
   const Time duration = to_microseconds(settings_.faults.outage_duration);
-  if (!destinations_.at(destination).begin_outage(now_, duration)) return;
-  calls_.drop_replies(destination, endpoints_);
+  const OutageSymptom symptom = settings_.faults.outage_symptom;
+  if (!destinations_.at(destination).begin_outage(now_, duration, symptom)) return;
+  const bool keeps_answering = symptom == OutageSymptom::shut || symptom == OutageSymptom::failing;
+  if (!keeps_answering) calls_.drop_replies(destination, endpoints_);
   for (SimulatedRelay& relay : relays_)
     for (auto& [id, message] : relay.journal())
       if (message.destination == destination) message.is_unaffected = false;
--- a/scale/fleet.hpp
+++ b/scale/fleet.hpp
@@ -39,6 +39,15 @@
   ClassObjectives non_idempotent{.latency_objective = 2, .deadline = 16};
 };
 
+// How calls to a destination end during an outage.
+enum class OutageSymptom {
+  unreachable,  // connections are not established within the connect timeout
+  refused,      // connections are refused at once
+  hung,         // calls are accepted and never answered
+  shut,         // calls are rejected, some with a Retry-After that ends with the outage
+  failing       // most calls are answered with an error, the others are served
+};
+
 // The modelled destinations.
 struct DestinationSettings {
   double mean_endpoints = 1.7;  // of one destination; its endpoints share its rate limit
@@ -52,7 +61,10 @@
   double max_bucket_fill_time = 1;
   // The fraction of the destinations at which rejected calls use up the rate limit too.
   double rejections_count_fraction = 0;
-  // The probability that a call rejected by the rate limit is answered with a Retry-After.
+  // The fraction of the admitted calls that end as reset although the destination is available.
+  double isolated_reset_fraction = 0;
+  // The probability that a call rejected by the rate limit, or while the destination is shut, is answered
+  // with a Retry-After.
   double min_retry_after_probability = 0.05;
   double max_retry_after_probability = 0.9;
   double min_capacity_ratio = 1.2;  // the capacity divided by the rate limit
@@ -85,6 +97,7 @@
   // give this fraction, each at a destination drawn at random.
   double unavailable_fraction = 0;
   double outage_duration = 10;
+  OutageSymptom outage_symptom = OutageSymptom::unreachable;
   double endpoint_replacement_rate = 0;  // endpoints replaced per second in the whole fleet
   // The fraction of the relays that are all killed at the same time. They keep their journals and start again
   // after `restart_delay`.
--- a/scale/fleet_experiment.cpp
+++ b/scale/fleet_experiment.cpp
@@ -41,6 +41,7 @@
                             {"report_noise", destination.load_report_noise},
                             {"down_part", settings.faults.unavailable_fraction},
                             {"killed_part", settings.faults.killed_relay_fraction},
+                            {"reset_part", destination.isolated_reset_fraction},
                             {"cold_from", destination.slow_start_capacity}};
   for (const auto& [key, value] : keys) table.read(key, value, 0, 1);
 }
@@ -92,6 +93,13 @@
   for (const auto& [key, value] : keys) table.read(key, value, 0, kMaxNonNegative);
 }
 
+void read_outage_symptom(ExperimentTable& table, FleetSettings& settings) {
+  auto position = static_cast<std::size_t>(settings.faults.outage_symptom);
+  // In the order of the enumerators.
+  table.read_choice("outage", position, {"unreachable", "refused", "hung", "shut", "failing"});
+  settings.faults.outage_symptom = static_cast<OutageSymptom>(position);
+}
+
 }  // namespace
 
 FleetExperiment read_fleet_experiment(const std::string& path) {
@@ -103,6 +111,7 @@
   read_fractions(table, experiment.settings);
   read_positive_numbers(table, experiment.settings);
   read_non_negative_numbers(table, experiment.settings);
+  read_outage_symptom(table, experiment.settings);
   table.check_all_keys_read();
   try {
     validate(experiment.settings);
--- a/scale/simulation/destination.cpp
+++ b/scale/simulation/destination.cpp
@@ -8,6 +8,9 @@
 
 constexpr Time kMicrosecondsPerMillisecond = 1'000;
 
+// The probability that a call fails during an outage with OutageSymptom::failing.
+constexpr double kFailureProbability = 0.9;
+
 std::unique_ptr<RateLimiter> make_rate_limiter(double rate_limit, const DestinationTraits& traits) {
   if (traits.has_fixed_window)
     return std::make_unique<FixedWindow>(rate_limit, traits.window, traits.window_phase,
@@ -66,26 +69,23 @@
   return traits_.full_capacity * std::min(1.0, start + (1 - start) * std::max(0.0, progress));
 }
 
-bool Destination::begin_outage(Time now, Time duration) {
+bool Destination::begin_outage(Time now, Time duration, OutageSymptom symptom) {
   const bool has_recovered = now >= outage_end_ + to_microseconds(settings_.slow_start_duration);
   if (collapse_cause_ != OverloadCause::none || !has_recovered) return false;
   outage_start_ = now;
   outage_end_ = now + duration;
+  outage_symptom_ = symptom;
   notified_relays_.clear();
   overload_detector_.clear();
   return true;
 }
 
-CallReply Destination::receive_call(Time now, RelayIndex relay, RandomSource& random) {
+std::optional<CallReply> Destination::receive_call(Time now, RelayIndex relay, RandomSource& random) {
   overrun_meter_.record_call(now);
   const double capacity_now = capacity(now);
   if (!is_down(now) && is_in_slow_start(now))
     collapse_cause_ = overload_detector_.record_call(now, notified_relays_.contains(relay), capacity_now);
-  if (is_down(now)) {
-    CallReply reply;
-    reply.outcome = dispatch::Outcome::connect_failed;
-    return reply;
-  }
+  if (is_down(now)) return reply_in_outage(now, random);
   queued_calls_ = std::max(0.0, queued_calls_ - capacity_now * to_seconds(now - queue_updated_at_));
   queue_updated_at_ = now;
   const std::optional<Time> retry_after = rate_limiter_->admit(now);
@@ -94,6 +94,28 @@
   return serve(now, capacity_now, random);
 }
 
+std::optional<CallReply> Destination::reply_in_outage(Time now, RandomSource& random) {
+  CallReply reply;
+  switch (outage_symptom_) {
+    case OutageSymptom::unreachable:
+      reply.outcome = dispatch::Outcome::connect_failed;
+      reply.processing_time = kConnectTimeout;
+      return reply;
+    case OutageSymptom::refused:
+      reply.outcome = dispatch::Outcome::connect_failed;
+      return reply;
+    case OutageSymptom::hung:
+      return std::nullopt;
+    case OutageSymptom::shut:
+      return reject(now, outage_end_ - now, random);
+    case OutageSymptom::failing:
+      reply = serve(now, capacity(now), random);
+      if (random.bernoulli(kFailureProbability)) reply.outcome = dispatch::Outcome::error;
+      return reply;
+  }
+  return std::nullopt;
+}
+
 CallReply Destination::reject(Time now, std::optional<Time> retry_after, RandomSource& random) {
   CallReply reply;
   reply.outcome = dispatch::Outcome::rejected;
@@ -113,6 +135,9 @@
   const double service_time =
       random.log_normal(settings_.mean_service_time, settings_.service_time_variation);
   reply.processing_time = to_microseconds(queueing_time + service_time);
+  const bool is_reset = settings_.isolated_reset_fraction > 0 &&  // draws no number if there are no resets
+                        random.bernoulli(settings_.isolated_reset_fraction);
+  if (is_reset) reply.outcome = dispatch::Outcome::reset;
   return reply;
 }
 
--- a/scale/simulation/destination.hpp
+++ b/scale/simulation/destination.hpp
@@ -62,12 +62,12 @@
   [[nodiscard]] double listed_weight() const;
   [[nodiscard]] const RateLimiter& rate_limiter() const { return *rate_limiter_; }
 
-  // Processes a call that arrives from a relay and returns the reply.
-  [[nodiscard]] CallReply receive_call(Time now, RelayIndex relay, RandomSource& random);
+  // Processes a call that arrives from a relay and returns the reply; nothing if the call is never answered.
+  [[nodiscard]] std::optional<CallReply> receive_call(Time now, RelayIndex relay, RandomSource& random);
 
   // Begins an outage, unless the destination is already down, in slow start or collapsed. Returns whether the
   // outage began.
-  [[nodiscard]] bool begin_outage(Time now, Time duration);
+  [[nodiscard]] bool begin_outage(Time now, Time duration, OutageSymptom symptom);
   // Records that the relay knows of the present or last outage.
   void notify(RelayIndex relay) { notified_relays_.insert(relay); }
   // Returns whether the given time is within the present or last outage, or the destination has collapsed.
@@ -81,6 +81,7 @@
 
  private:
   double capacity(Time now) const;
+  std::optional<CallReply> reply_in_outage(Time now, RandomSource& random);
   CallReply reject(Time now, std::optional<Time> retry_after, RandomSource& random);
   CallReply serve(Time now, double capacity, RandomSource& random);
 
@@ -97,6 +98,7 @@
   Time queue_updated_at_ = 0;
   Time outage_start_ = kNever;
   Time outage_end_ = -kNever;
+  OutageSymptom outage_symptom_ = OutageSymptom::unreachable;
   OverloadCause collapse_cause_ = OverloadCause::none;
   std::set<RelayIndex> notified_relays_;
 };
--- a/scale/simulation/simulated_relay.hpp
+++ b/scale/simulation/simulated_relay.hpp
@@ -16,8 +16,6 @@
 
 // The shortest time between two rounds of a relay's dispatcher, in microseconds.
 constexpr Time kMinRoundInterval = 5'000;
-// The time after which an attempt to connect has failed, in microseconds.
-constexpr Time kConnectTimeout = 1'000'000;
 
 // The values are indices in dispatch::Settings::classes.
 enum class MessageClass { idempotent, non_idempotent };
--- a/scale/simulation/virtual_time.hpp
+++ b/scale/simulation/virtual_time.hpp
@@ -14,6 +14,9 @@
 // Later than all events, but small enough that adding a duration does not overflow.
 constexpr Time kNever = INT64_MAX / 4;
 
+// The time after which an attempt to connect has failed, in microseconds.
+constexpr Time kConnectTimeout = 1'000'000;
+
 inline Time to_microseconds(double seconds) {
   return static_cast<Time>(std::llround(seconds * kMicrosecondsPerSecond));
 }
