--- a/tests/fleet_scale_test.cpp
+++ b/tests/fleet_scale_test.cpp
@@ -155,6 +155,21 @@
   }
 }
 
+// A shut destination rejects all calls. Guards against relays that do not take rejections for an outage.
+TEST(SmallRateLimitShares, RelaysRejectedByAShutDestinationDoNotCollapseItInSlowStart) {
+  FleetSettings settings = small_fleet();
+  settings.relay_count = 50;
+  settings.destinations_per_relay = 2;
+  settings.max_destinations = 100;
+  settings.duration = 60;
+  settings.destination.rate_limit = 5;
+  settings.workload.load = 0.9;
+  settings.faults.unavailable_fraction = 0.05;
+  settings.faults.outage_symptom = OutageSymptom::shut;
+  for (settings.seed = 1; settings.seed <= 3; settings.seed++)
+    EXPECT_EQ(run_fleet(settings).collapses_by_notified_relays, 0) << "seed " << settings.seed;
+}
+
 // For 10 s, the load is eight times the usual load. Messages are counted from 10 s after the burst on, when
 // delivery must have recovered.
 TEST(SmallRateLimitShares, DeliveryRecoversWithinSecondsAfterABurst) {
