Limit the calls to a destination from the first sign of an outage, not from ejection

What callers saw: a destination that had been shut for 10 s came back and fell again under the calls of relays that it had rejected; its messages were lost until their deadline.

Cause: the platform counts a relay as notified of an outage from its first failed or rejected call. A relay limited its calls only once it had ejected an endpoint, for rejections after four in a row over 1.5 s. Where a relay's quota is less than one call in the shortest deadline (5 calls a second, 8 s: from 41 relays on) it never sees four; neither the quota nor ejection binds it. All such relays wait for the same Retry-After, hold one token each, and send when it ends.

Change: SlowStartPacer, a token bucket for all endpoints of a destination. It is active from the first failed call, the first rejection with a Retry-After or the second sign in a row of a kind that available destinations give too (error, rejection), until a later call is served, and then through slow start unless served calls around it leave no time for an outage. Its rate is the relay's share of the calls that the stated budget (N + 3 root N + 3, from 30 on N + 2 root N + 2) leaves to notified relays. It passes on in an upgrade, in lines of the learned state of their own, which earlier builds skip.

Why it works: from the moment at which a relay counts as notified, its calls come out of the destination's budget, whatever the relay itself has concluded.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -70,6 +70,14 @@
 }
 
 void Dispatcher::State::on(const event::Arrival& arrival) {
+  add_message(arrival);
+  const auto destination = directory.destinations().find(arrival.destination);
+  // While a destination is down, clients submit messages again that it would have taken once.
+  if (!arrival.resubmitted && destination != directory.destinations().end())
+    destination->second.scope.arrivals.add_event(round.now());
+}
+
+void Dispatcher::State::add_message(const event::Arrival& arrival) {
   Message& message = messages[arrival.id];
   message.id = arrival.id;
   message.destination = arrival.destination;
@@ -86,7 +94,7 @@
 }
 
 void Dispatcher::State::on(const event::MessageRecovered& recovered) {
-  on(recovered.message);
+  add_message(recovered.message);
   const auto it = messages.find(recovered.message.id);
   Message& message = it->second;
   message.attempts_made = recovered.attempts_made;
@@ -155,6 +163,7 @@
                                                           attempt.retry_after);
   if (call.outcome_recorded || !outcome_reflects_endpoint(attempt, call)) return;
   call.outcome_recorded = true;
+  update_slow_start(endpoint, call.sent_at, attempt.outcome);
   if (attempt.outcome == Outcome::succeeded)
     on_served(endpoint, call.sent_at, attempt);
   else if (attempt.outcome == Outcome::rejected)
@@ -163,6 +172,24 @@
     on_failed(endpoint, attempt, call.message_count);
 }
 
+// The calls to all endpoints of a destination count towards its budget in slow start.
+void Dispatcher::State::update_slow_start(EndpointState& endpoint, Time sent_at, Outcome outcome) {
+  RateLimitScope& scope = directory.scope_of(endpoint);
+  const KnownLoad load{
+      .demand = (endpoint.is_independent ? endpoint.demand : scope.arrivals).rate(round.now()),
+      .rate_limit = scope.limiter.rate_limit()};
+  if (outcome == Outcome::succeeded) {
+    scope.slow_start.on_served(round, sent_at, load);
+    return;
+  }
+  const Time blocked_until = scope.limiter.retry_after_until();
+  const bool is_weak_evidence =
+      outcome == Outcome::error || (outcome == Outcome::rejected && blocked_until <= round.now());
+  scope.slow_start.on_unsuccessful(
+      round, {.sent_at = sent_at, .is_weak_evidence = is_weak_evidence, .blocked_until = blocked_until},
+      load);
+}
+
 void Dispatcher::State::on_served(EndpointState& endpoint, Time sent_at, const event::AttemptEnded& attempt) {
   RateLimitScope& scope = directory.scope_of(endpoint);
   endpoint.served_calls.add_event(round.now());
@@ -181,6 +208,8 @@
   const CallKind kind = endpoint.health.kind_of_next_call();
   scope.backoff.on_failure(round);
   scope.limiter.on_rejected(round, rejection_statistics, scope.backoff, kind, endpoint.info.id);
+  // Slow start spreads the next calls of the relays already.
+  if (scope.slow_start.is_active()) scope.limiter.fill_bucket(round);
   low_rate_pacer.on_rejected(round, scope.limiter, kind);
   outlier_detector.on_rejected(endpoint);
 }
@@ -243,9 +272,16 @@
   LearnedStateWriter writer;
   writer.add_line(kRelayLine, *this);
   writer.add_line(kLowRateLine, low_rate_pacer.record());
-  for (auto& [id, destination] : directory.destinations())
+  for (auto& [id, destination] : directory.destinations()) {
     writer.add_line(kDestinationLine, std::to_string(id), destination.scope);
-  for (auto& [id, endpoint] : directory.endpoints()) writer.add_line(kEndpointLine, id, endpoint);
+    if (destination.scope.slow_start.is_active())
+      writer.add_line(kDestinationSlowStartLine, std::to_string(id), destination.scope.slow_start.record());
+  }
+  for (auto& [id, endpoint] : directory.endpoints()) {
+    writer.add_line(kEndpointLine, id, endpoint);
+    if (endpoint.own_scope.slow_start.is_active())
+      writer.add_line(kEndpointSlowStartLine, id, endpoint.own_scope.slow_start.record());
+  }
   return writer.text();
 }
 
@@ -255,15 +291,20 @@
       restore_fields(line, *this);
     } else if (line.name == kLowRateLine) {
       restore_fields(line, low_rate_pacer.record());
-    } else if (line.name == kDestinationLine) {
+    } else if (line.name == kDestinationLine || line.name == kDestinationSlowStartLine) {
       auto& destinations = directory.destinations();
       const auto found = std::find_if(destinations.begin(), destinations.end(), [&line](const auto& entry) {
         return std::to_string(entry.first) == line.subject;
       });
-      if (found != destinations.end()) restore_fields(line, found->second.scope);
-    } else if (line.name == kEndpointLine) {
+      if (found == destinations.end()) continue;
+      RateLimitScope& scope = found->second.scope;
+      line.name == kDestinationLine ? restore_fields(line, scope)
+                                    : restore_fields(line, scope.slow_start.record());
+    } else if (line.name == kEndpointLine || line.name == kEndpointSlowStartLine) {
       EndpointState* const endpoint = directory.find(line.subject);
-      if (endpoint != nullptr) restore_fields(line, *endpoint);
+      if (endpoint == nullptr) continue;
+      line.name == kEndpointLine ? restore_fields(line, *endpoint)
+                                 : restore_fields(line, endpoint->own_scope.slow_start.record());
     }
   }
 }
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -62,11 +62,13 @@
   void on(const event::GossipReceived& gossip);
   void on(const event::EndpointSuspension& suspension);
   void on(const event::LearnedStateRestored& restored);
+  void add_message(const event::Arrival& arrival);
   void recover_call(Message& message, const event::CallInFlight& in_flight);
   void remove_if_done(MessageMap::iterator it);
 
   void add_or_update(const Endpoint& info);
   void record_endpoint_outcome(EndpointState& endpoint, Call& call, const event::AttemptEnded& attempt);
+  void update_slow_start(EndpointState& endpoint, Time sent_at, Outcome outcome);
   void on_served(EndpointState& endpoint, Time sent_at, const event::AttemptEnded& attempt);
   void on_rejected(EndpointState& endpoint);
   void on_failed(EndpointState& endpoint, const event::AttemptEnded& attempt, int message_count);
--- a/src/endpoint_directory.hpp
+++ b/src/endpoint_directory.hpp
@@ -81,6 +81,7 @@
     const auto is_unused = [&round](const EndpointState& endpoint) {
       return endpoint.info.status == EndpointStatus::removed && endpoint.calls.empty() &&
              !endpoint.health.has_recent_outage(round) &&
+             !endpoint.own_scope.slow_start.has_recent_outage(round) &&
              endpoint.own_scope.limiter.retry_after_until() <= round.now();
     };
     bool destinations_removed = false;
@@ -88,8 +89,9 @@
       DestinationState& destination = it->second;
       std::erase_if(destination.endpoints,
                     [&](const EndpointState* endpoint) { return is_unused(*endpoint); });
-      const bool removable =
-          destination.endpoints.empty() && destination.scope.limiter.retry_after_until() <= round.now();
+      const bool removable = destination.endpoints.empty() &&
+                             !destination.scope.slow_start.has_recent_outage(round) &&
+                             destination.scope.limiter.retry_after_until() <= round.now();
       destinations_removed = destinations_removed || removable;
       it = removable ? destinations_.erase(it) : std::next(it);
     }
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -129,7 +129,7 @@
   return record_.expected_rate * (is_awaiting_success() ? std::min(multiple, 1.0) : multiple);
 }
 
-Time EndpointHealth::call_ready_at(RoundContext& round, const EndpointId& id) {
+Time EndpointHealth::call_ready_at(RoundContext& round, const EndpointId& id, EndpointPacing pacing) {
   const Time now = round.now();
   if (!is_healthy() && now >= record_.state_started_at + state_duration(round)) {
     if (is_in_slow_start()) {
@@ -145,7 +145,8 @@
   if (is_healthy()) return now;
   const double rate = allowed_rate(round);
   record_.bucket.refill(now, rate, 1);
-  const Time token_at = record_.bucket.ready_at(1, std::max(rate, 1e-9));
+  const bool has_own_bucket = pacing == EndpointPacing::by_endpoint;
+  const Time token_at = has_own_bucket ? record_.bucket.ready_at(1, std::max(rate, 1e-9)) : now;
   const Time ready = std::min(token_at, record_.state_started_at + state_duration(round));
   return is_ejected() ? std::max(ready, record_.next_probe_at) : ready;
 }
--- a/src/endpoint_health.hpp
+++ b/src/endpoint_health.hpp
@@ -20,6 +20,12 @@
 inline constexpr double kOverdueLatencyMultiple = 4;
 inline constexpr double kOverdueSlackSeconds = 0.3;
 
+/// What limits the rate of the calls to an endpoint that is ejected or in slow start.
+enum class EndpointPacing {
+  by_endpoint,    ///< its own token bucket
+  by_destination  ///< SlowStartPacer, for all endpoints of the destination together
+};
+
 /// The health of one endpoint.
 ///
 /// Invariant: the calls to a healthy endpoint are not limited here. An ejected endpoint gets single probe
@@ -54,7 +60,7 @@
   /// Takes over the state of another endpoint of the destination.
   void copy_state_from(RoundContext& round, const EndpointHealth& sibling);
   /// Returns when the next call may be sent. Ends an ejection or a slow start that has expired.
-  Time call_ready_at(RoundContext& round, const EndpointId& id);
+  Time call_ready_at(RoundContext& round, const EndpointId& id, EndpointPacing pacing);
   void on_call_sent(RoundContext& round, const RetryBackoff& backoff);
 
   EndpointHealthRecord& learned_record() { return record_; }  ///< For the learned state only.
--- a/src/endpoint_selection.cpp
+++ b/src/endpoint_selection.cpp
@@ -100,10 +100,14 @@
   if (limiter.blocked_until() > now) return limiter.blocked_until();
   if (has_room_in_batch(endpoint)) return now;
   if (calls.size() >= static_cast<std::size_t>(settings.max_calls_in_flight)) return kNever;
-  const Time health_ready = endpoint.health.call_ready_at(round, endpoint.info.id);
+  const SlowStartPacer& slow_start = directory.scope_of(endpoint).slow_start;
+  const auto pacing = slow_start.is_active() ? EndpointPacing::by_destination : EndpointPacing::by_endpoint;
+  const Time health_ready = endpoint.health.call_ready_at(round, endpoint.info.id, pacing);
   const Time limiter_ready = limiter.token_ready_at(round);
   const Time pacer_ready = low_rate_pacer.token_ready_at(round, limiter, message.attempts_made);
-  const Time ready = std::max({health_ready, limiter_ready, pacer_ready});
+  const Time slow_start_ready =
+      directory.scope_of(endpoint).slow_start.token_ready_at(round, limiter.rate_limit());
+  const Time ready = std::max({health_ready, limiter_ready, pacer_ready, slow_start_ready});
   if (ready > now) return ready;
   // A message that must not be repeated is not sent as a probe that may be lost, unless its objective has
   // passed.
@@ -144,6 +148,7 @@
   endpoint.adaptive_batch_size = endpoint.max_batch_size;
   endpoint.use_gap.set_initial_mean(seconds(settings.connection_idle_timeout) * kInitialUseGapFraction);
   endpoint.demand.start(round.now());
+  if (directory.siblings_of(endpoint).empty()) endpoint.destination->scope.arrivals.start(round.now());
 }
 
 void Dispatcher::State::raise_limits(EndpointState& endpoint) {
@@ -185,6 +190,7 @@
   if (endpoint.health.is_healthy() && message.attempts_made == 0) endpoint.demand.add_event(round.now());
   endpoint.use_gap.on_call_begun(round.now());
   scope.limiter.take_token();
+  scope.slow_start.take_token();
   low_rate_pacer.take_token(round, scope.limiter);
   endpoint.health.on_call_sent(round, scope.backoff);
   if (outlier_detector.overdue_call_count(endpoint) > 0) close_idle_connections(endpoint);
--- a/src/endpoint_state.hpp
+++ b/src/endpoint_state.hpp
@@ -12,6 +12,7 @@
 #include "records.hpp"
 #include "retry_backoff.hpp"
 #include "shared_constants.hpp"
+#include "slow_start_pacer.hpp"
 #include "use_gap_estimator.hpp"
 
 namespace dispatch {
@@ -21,6 +22,9 @@
 struct RateLimitScope {
   RetryBackoff backoff;
   RateLimiter limiter;
+  SlowStartPacer slow_start;
+  // New messages for the destination. Not used in an independent endpoint's own scope.
+  RateEstimator arrivals{kDemandTimeConstant};
   int consecutive_failures = 0;  // failed calls since the last served one; used by OutlierDetector
 
   template <class Visitor>
--- a/src/learned_records.hpp
+++ b/src/learned_records.hpp
@@ -98,4 +98,33 @@
   }
 };
 
+/// Stored as the index of the enumerator, so the order is part of the format.
+enum class SlowStartPhase {
+  inactive,          ///< calls are not limited
+  awaiting_success,  ///< an unsuccessful call was not followed by a served one yet
+  slow_start         ///< the destination may have returned from an outage
+};
+
+/// The state of a SlowStartPacer.
+struct SlowStartRecord {
+  SlowStartPhase phase = SlowStartPhase::inactive;
+  Time phase_started_at = 0;  // while awaiting a success: the last unsuccessful call
+  Time interrupted_slow_start_at =
+      -kNever;                    // start of the slow start before the wait; -kNever: there was none
+  Time last_served_at = -kNever;  // when the last served call ended
+  Time last_unsuccessful_sent_at = -kNever;  // the latest time at which an unsuccessful call was sent
+  int consecutive_unsuccessful = 0;          // calls since the last served one
+  double unsuccessful_fraction = 0;          // of the recent calls
+  double demand = 0;                         // calls per second of this relay before the outage
+  TokenBucket bucket{0};
+
+  template <class Visitor>
+  void visit_learned_fields(Visitor&& visit) {
+    visit_fields(visit, phase, phase_started_at, interrupted_slow_start_at, last_served_at);
+    visit_fields(visit, last_unsuccessful_sent_at, consecutive_unsuccessful, unsuccessful_fraction, demand);
+    bucket.visit_tokens(visit);
+    bucket.visit_refilled_at(visit);
+  }
+};
+
 }  // namespace dispatch
--- a/src/learned_state.cpp
+++ b/src/learned_state.cpp
@@ -20,7 +20,9 @@
   std::istringstream in(text);
   LearnedStateLine line;
   in >> line.name;
-  if (line.name == kDestinationLine || line.name == kEndpointLine) in >> line.subject;
+  const bool has_subject = line.name == kDestinationLine || line.name == kEndpointLine ||
+                           line.name == kDestinationSlowStartLine || line.name == kEndpointSlowStartLine;
+  if (has_subject) in >> line.subject;
   std::string field;
   while (in >> field) {
     const std::optional<double> number = parse_number(field);
--- a/src/learned_state.hpp
+++ b/src/learned_state.hpp
@@ -21,6 +21,9 @@
 inline const std::string kLowRateLine = "thin";             // LowRatePacer
 inline const std::string kDestinationLine = "destination";  // backoff and rate limiter of a destination
 inline const std::string kEndpointLine = "endpoint";        // state of an endpoint
+// SlowStartPacer of a destination and of an independent endpoint. Earlier builds skip these lines.
+inline const std::string kDestinationSlowStartLine = "destination_slow_start";
+inline const std::string kEndpointSlowStartLine = "endpoint_slow_start";
 
 /// Calls `visit` with each field in turn.
 template <class Visitor, class... Fields>
--- a/src/rate_limiter.hpp
+++ b/src/rate_limiter.hpp
@@ -44,11 +44,17 @@
   /// Returns the time at which a token for the next call is available.
   Time token_ready_at(const RoundContext& round);
   void take_token();
+  /// With a quota, makes a token available as soon as tokens are added again.
+  void fill_bucket(const RoundContext& round) {
+    if (token_quota(round) > 0) record_.bucket.set(1, record_.bucket.refilled_at());
+  }
 
   /// Returns the end of the last Retry-After; 0 if there was none.
   Time retry_after_until() const { return record_.retry_after_until; }
   /// Returns the time before which no call may be sent, because of a Retry-After or of paused admission.
   Time blocked_until() const { return std::max(record_.retry_after_until, record_.admission_paused_until); }
+  /// Returns the limit in calls per second over all relays; 0 if no limit is known.
+  double rate_limit() const { return record_.reported_limit; }
   /// Returns this relay's equal share of the reported limit, in calls per second. 0 if no limit is known, and
   /// in a small fleet, where the relay's own call rates are the better estimate.
   double quota(const RoundContext& round) const;
