Take outages that the earlier process observed into account after a restart

What callers saw: with half of the relays killed during an outage, a returning destination got up to twice its budget from the backlog that they recovered.

Cause: the platform keeps a restarted relay notified; the new process knew nothing of the outage and sent the recovered messages as to an available destination.

Change: a recovered message tells the dispatcher whether its last attempt is known to have failed or been rejected; if so, the calls to its destination are limited as after a failed call of this process.

--- a/include/dispatch/events.hpp
+++ b/include/dispatch/events.hpp
@@ -79,6 +79,8 @@
   /// process may have sent it before the clock of this one started.
   Time possible_execution_sent_at = 0;
   std::optional<CallInFlight> in_flight;  ///< its AttemptEnded event is still to come
+  /// The earlier process observed that the last attempt failed or was rejected.
+  bool last_attempt_unsuccessful = false;
 };
 /// Restores what Dispatcher::learned_state() returned in an earlier process with the same clock. Must come
 /// after the endpoint list. Lines that cannot be parsed are ignored.
--- a/scale/simulation/simulated_relay.cpp
+++ b/scale/simulation/simulated_relay.cpp
@@ -42,6 +42,7 @@
     event.possible_execution_zone = message.first_attempt_zone;
     event.possible_execution_sent_at = possible_execution->sent_at;
   }
+  event.last_attempt_unsuccessful = !message.attempts.empty() && message.attempts.back().outcome.has_value();
   return event;
 }
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -100,11 +100,22 @@
   message.attempts_made = recovered.attempts_made;
   message.possible_execution_zone = recovered.possible_execution_zone;
   message.possible_execution_sent_at = recovered.possible_execution_sent_at;
+  if (recovered.last_attempt_unsuccessful) limit_recovered_destination(message.destination);
   if (recovered.in_flight) return recover_call(message, *recovered.in_flight);
   resume_delivery(message);
   remove_if_done(it);
 }
 
+// A restart ends no outage: what the earlier process observed limits the calls of this one.
+void Dispatcher::State::limit_recovered_destination(DestinationId destination) {
+  for (EndpointState* const endpoint : directory.endpoints_of(destination)) {
+    RateLimitScope& scope = directory.scope_of(*endpoint);
+    if (scope.slow_start.is_active()) continue;
+    scope.slow_start.on_unsuccessful(round, {.sent_at = round.now()},
+                                     {.rate_limit = scope.limiter.rate_limit()});
+  }
+}
+
 void Dispatcher::State::add_or_update(const Endpoint& info) {
   const auto [endpoint, is_new] = directory.update(info);
   directory.scope_of(endpoint).limiter.initialize_from_weight(round, info.weight);
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -63,6 +63,7 @@
   void on(const event::EndpointSuspension& suspension);
   void on(const event::LearnedStateRestored& restored);
   void add_message(const event::Arrival& arrival);
+  void limit_recovered_destination(DestinationId destination);
   void recover_call(Message& message, const event::CallInFlight& in_flight);
   void remove_if_done(MessageMap::iterator it);
 
