--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -194,8 +194,10 @@
     return;
   }
   const Time blocked_until = scope.limiter.retry_after_until();
-  const bool is_weak_evidence =
-      outcome == Outcome::error || (outcome == Outcome::rejected && blocked_until <= round.now());
+  // A rate limit with a short window tells short waits.
+  const bool is_short_rejection =
+      outcome == Outcome::rejected && blocked_until <= round.now() + settings.overload_duration;
+  const bool is_weak_evidence = outcome == Outcome::error || outcome == Outcome::reset || is_short_rejection;
   scope.slow_start.on_unsuccessful(
       round, {.sent_at = sent_at, .is_weak_evidence = is_weak_evidence, .blocked_until = blocked_until},
       load);
