--- a/include/dispatch/dispatcher.hpp
+++ b/include/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,10 @@
   /// or because they are ejected.
   std::size_t excluded_endpoint_count() const;
 
+  /// The destinations to which calls are limited because they may be returning from an outage. A destination
+  /// may stay for a second after the limit has ended.
+  const std::set<DestinationId>& limited_destinations() const;
+
   /// The number of endpoints, destinations, suspensions, messages, order keys, quiet periods of order keys
   /// and calls that the dispatcher stores. A gauge of its memory.
   std::size_t tracked_object_count() const;
--- a/include/dispatch/events.hpp
+++ b/include/dispatch/events.hpp
@@ -79,8 +79,11 @@
   /// process may have sent it before the clock of this one started.
   Time possible_execution_sent_at = 0;
   std::optional<CallInFlight> in_flight;  ///< its AttemptEnded event is still to come
-  /// The earlier process observed that the last attempt failed or was rejected.
-  bool last_attempt_unsuccessful = false;
+};
+/// An earlier process of this relay limited the calls to the destination because of failed or rejected calls:
+/// the destination was in Dispatcher::limited_destinations(). Must come after the endpoint list.
+struct DestinationLimitRecovered {
+  DestinationId destination = 0;
 };
 /// Restores what Dispatcher::learned_state() returned in an earlier process with the same clock. Must come
 /// after the endpoint list. Lines that cannot be parsed are ignored.
@@ -132,6 +135,6 @@
     std::variant<event::EndpointListSnapshot, event::EndpointListUpdate, event::EndpointListSubscriptionLost,
                  event::Arrival, event::MessageRecovered, event::AttemptEnded, event::ClientCancelled,
                  event::TimerExpired, event::HealthCheckEnded, event::GossipReceived,
-                 event::EndpointSuspension, event::LearnedStateRestored>;
+                 event::EndpointSuspension, event::DestinationLimitRecovered, event::LearnedStateRestored>;
 
 }  // namespace dispatch
--- a/relay/decision_round.cpp
+++ b/relay/decision_round.cpp
@@ -37,6 +37,7 @@
   std::vector<dispatch::Action> actions;
   const std::vector<dispatch::Event> events = collaborators_.events.take();
   collaborators_.dispatcher.handle(started_at_, events, actions);
+  collaborators_.journal.record_limited_destinations(collaborators_.dispatcher.limited_destinations());
   for (const dispatch::Action& action : actions)
     std::visit([&](const auto& alternative) { apply(alternative, plan); }, action);
 }
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -2,10 +2,13 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <iterator>
 #include <system_error>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "journal_reader.hpp"
 
@@ -116,6 +119,13 @@
 
 void Journal::apply(const SuspensionRecord& record) { set_suspension(record.endpoint, record.state); }
 
+void Journal::apply(const DestinationLimitRecord& record) {
+  if (record.state == DestinationLimitState::limited)
+    limited_destinations_.insert(record.destination);
+  else
+    limited_destinations_.erase(record.destination);
+}
+
 // ---- In-memory state ----
 
 void Journal::set_final_answer(JournaledMessage& message, const FinalAnswer& final_answer) {
@@ -193,6 +203,18 @@
   if (set_suspension(endpoint, state)) queue_frames(kNoMessage, encode(SuspensionRecord{endpoint, state}));
 }
 
+void Journal::record_limited_destinations(const std::set<std::int64_t>& destinations) {
+  std::vector<std::int64_t> changed;
+  std::set_symmetric_difference(destinations.begin(), destinations.end(), limited_destinations_.begin(),
+                                limited_destinations_.end(), std::back_inserter(changed));
+  for (const std::int64_t destination : changed) {
+    const auto state = destinations.contains(destination) ? DestinationLimitState::limited
+                                                          : DestinationLimitState::unlimited;
+    queue_frames(kNoMessage, encode(DestinationLimitRecord{destination, state}));
+  }
+  if (!changed.empty()) limited_destinations_ = destinations;
+}
+
 bool Journal::commit() {
   if (pending_frames_.empty() && compacted_pending_frames_.empty()) return true;
   const std::uint64_t size_after = size_on_disk(file_.size() + pending_frames_.size()) +
@@ -239,6 +261,8 @@
   std::string head(kJournalHeader);
   for (const auto& endpoint : suspended_endpoints_)
     head += encode(SuspensionRecord{endpoint, SuspensionState::suspended});
+  for (const std::int64_t destination : limited_destinations_)
+    head += encode(DestinationLimitRecord{destination, DestinationLimitState::limited});
   compacted_file_.append(head);
 }
 
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -20,6 +20,7 @@
   final_answer = 'E',
   completed = 'X',
   suspension = 'H',
+  destination_limit = 'L',
 };
 
 constexpr std::size_t kChecksumOffset = 4;  // in the frame header, in bytes
@@ -115,6 +116,14 @@
   return record;
 }
 
+DestinationLimitRecord decode_destination_limit(BinaryReader& reader) {
+  DestinationLimitRecord record;
+  record.destination = reader.number<std::int64_t>();
+  const bool limited = reader.number<bool>();
+  record.state = limited ? DestinationLimitState::limited : DestinationLimitState::unlimited;
+  return record;
+}
+
 // Throws std::runtime_error if the payload is too short.
 JournalRecord decode_fields(BinaryReader& reader) {
   const auto kind = reader.number<RecordKind>();
@@ -134,6 +143,8 @@
       return CompletedRecord{id};
     case RecordKind::suspension:
       return decode_suspension(reader);
+    case RecordKind::destination_limit:
+      return decode_destination_limit(reader);
   }
   return UnknownRecord{};
 }
@@ -176,6 +187,13 @@
       begin_record(RecordKind::suspension, kNoMessage).text(record.endpoint).number(record.state).payload());
 }
 
+std::string encode(const DestinationLimitRecord& record) {
+  return frame(begin_record(RecordKind::destination_limit, kNoMessage)
+                   .number(record.destination)
+                   .number(record.state)
+                   .payload());
+}
+
 std::string encode_all(MessageId id, const JournaledMessage& journaled) {
   std::string frames = encode_message(id, journaled.message);
   for (std::size_t i = 0; i < journaled.attempts.size(); i++) {
--- a/relay/journal_records.hpp
+++ b/relay/journal_records.hpp
@@ -69,11 +69,21 @@
   std::string endpoint;
   SuspensionState state = SuspensionState::restored;
 };
+// Whether the relay limits the calls to a destination that may be returning from an outage. The values are
+// part of the stored format.
+enum class DestinationLimitState : bool { unlimited = false, limited = true };
+
+// The relay began or ended to limit the calls to a destination.
+struct DestinationLimitRecord {
+  std::int64_t destination = 0;
+  DestinationLimitState state = DestinationLimitState::unlimited;
+};
 // A record of a kind that this build does not know. Readers skip it.
 struct UnknownRecord {};
 
-using JournalRecord = std::variant<MessageRecord, MessageKeysRecord, AttemptRecord, OutcomeRecord,
-                                   FinalAnswerRecord, CompletedRecord, SuspensionRecord, UnknownRecord>;
+using JournalRecord =
+    std::variant<MessageRecord, MessageKeysRecord, AttemptRecord, OutcomeRecord, FinalAnswerRecord,
+                 CompletedRecord, SuspensionRecord, DestinationLimitRecord, UnknownRecord>;
 
 // Each returns the frame of one record. encode_message() also returns the frame of the keys, in front of the
 // message's own, if the message has any.
@@ -83,6 +93,7 @@
 [[nodiscard]] std::string encode(const FinalAnswerRecord& record);
 [[nodiscard]] std::string encode(const CompletedRecord& record);
 [[nodiscard]] std::string encode(const SuspensionRecord& record);
+[[nodiscard]] std::string encode(const DestinationLimitRecord& record);
 
 // The frames of all records of a message that is not completed.
 [[nodiscard]] std::string encode_all(MessageId id, const JournaledMessage& journaled);
--- a/relay/metrics.cpp
+++ b/relay/metrics.cpp
@@ -42,6 +42,7 @@
   lines += render_line("outstanding", gauges.outstanding);
   lines += render_line("discovered", gauges.discovered);
   lines += render_line("ejected", gauges.ejected);
+  lines += render_line("limited", gauges.limited);
   return lines;
 }
 
--- a/relay/metrics.hpp
+++ b/relay/metrics.hpp
@@ -25,6 +25,7 @@
 struct Gauges {
   std::size_t outstanding = 0;  // number of open messages
   std::size_t discovered = 0;   // number of listed endpoints
+  std::size_t limited = 0;      // number of destinations that may be returning from an outage
   std::size_t ejected = 0;      // number of listed endpoints that are ejected or suspended
   std::uint64_t forwards = 0;   // number of messages written completely to endpoints
 };
--- a/relay/operator_commands.cpp
+++ b/relay/operator_commands.cpp
@@ -53,6 +53,7 @@
   gauges.outstanding = collaborators_.journal.messages().size();
   gauges.discovered = collaborators_.directory.endpoints().size();
   gauges.ejected = collaborators_.dispatcher.excluded_endpoint_count();
+  gauges.limited = collaborators_.dispatcher.limited_destinations().size();
   gauges.forwards = collaborators_.delivery.messages_written();
   return collaborators_.metrics.render(gauges) + "END\n";
 }
--- a/relay/recovery.cpp
+++ b/relay/recovery.cpp
@@ -36,12 +36,6 @@
   }
 }
 
-// Whether the attempt is known to have failed at the endpoint or to have been rejected by it.
-bool is_unsuccessful(const Attempt& attempt) {
-  return attempt.outcome && *attempt.outcome != Outcome::succeeded && *attempt.outcome != Outcome::not_sent &&
-         *attempt.outcome != Outcome::cancelled;
-}
-
 event::MessageRecovered to_recovered(MessageId id, const JournaledMessage& journaled,
                                      const configuration::SettingNames& names,
                                      const InFlightById& in_flight) {
@@ -50,8 +44,6 @@
   recovered.attempts_made = static_cast<int>(journaled.attempts.size());
   if (const auto call = in_flight.find(id); call != in_flight.end()) recovered.in_flight = call->second;
   set_possible_execution(journaled.attempts, recovered);
-  recovered.last_attempt_unsuccessful =
-      !journaled.attempts.empty() && is_unsuccessful(journaled.attempts.back());
   return recovered;
 }
 
--- a/scale/simulation/simulated_relay.cpp
+++ b/scale/simulation/simulated_relay.cpp
@@ -42,7 +42,6 @@
     event.possible_execution_zone = message.first_attempt_zone;
     event.possible_execution_sent_at = possible_execution->sent_at;
   }
-  event.last_attempt_unsuccessful = !message.attempts.empty() && message.attempts.back().outcome.has_value();
   return event;
 }
 
@@ -82,6 +81,7 @@
   incarnation_++;
   inbox_.clear();
   is_round_scheduled_ = false;
+  limited_destinations_ = dispatcher_->limited_destinations();
   dispatcher_.reset();
 }
 
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -13,6 +13,24 @@
 
 /// One hour, in microseconds. A timer that expires early is harmless.
 constexpr Time kMaxTimerDuration = 3'600'000'000;
+/// The time between two reviews of the limited destinations, in microseconds.
+constexpr Time kLimitReviewInterval = 1'000'000;
+
+/// Returns the name of an unsuccessful outcome in the log.
+const char* cause_name(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::rejected:
+      return "rejected";
+    case Outcome::error:
+      return "error";
+    case Outcome::reset:
+      return "reset";
+    case Outcome::connect_failed:
+      return "connect_failed";
+    default:
+      return "no_answer";
+  }
+}
 
 }  // namespace
 
@@ -32,6 +50,7 @@
   poll_list();
   dispatch();
   close_unused_connections();
+  review_limited_destinations();
   order_keys.remove_unused(round.now());
   directory.remove_unused(round);
   const Time wakeup = round.next_wakeup();
@@ -100,22 +119,44 @@
   message.attempts_made = recovered.attempts_made;
   message.possible_execution_zone = recovered.possible_execution_zone;
   message.possible_execution_sent_at = recovered.possible_execution_sent_at;
-  if (recovered.last_attempt_unsuccessful) limit_recovered_destination(message.destination);
   if (recovered.in_flight) return recover_call(message, *recovered.in_flight);
   resume_delivery(message);
   remove_if_done(it);
 }
 
 // A restart ends no outage: what the earlier process observed limits the calls of this one.
-void Dispatcher::State::limit_recovered_destination(DestinationId destination) {
-  for (EndpointState* const endpoint : directory.endpoints_of(destination)) {
+void Dispatcher::State::on(const event::DestinationLimitRecovered& recovered) {
+  for (EndpointState* const endpoint : directory.endpoints_of(recovered.destination)) {
     RateLimitScope& scope = directory.scope_of(*endpoint);
     if (scope.slow_start.is_active()) continue;
+    // The demand before the restart is unknown; an equal share of the limit is assumed.
+    const double limit = scope.limiter.rate_limit();
     scope.slow_start.on_unsuccessful(round, {.sent_at = round.now()},
-                                     {.rate_limit = scope.limiter.rate_limit()});
+                                     {.demand = limit / settings.relay_count, .rate_limit = limit});
+    on_destination_limited(recovered.destination, "restart");
   }
 }
 
+void Dispatcher::State::on_destination_limited(DestinationId destination, const char* cause) {
+  if (!limited_destinations.insert(destination).second) return;
+  round.log("destination_limited destination=" + std::to_string(destination) + " cause=" + cause);
+}
+
+// Reviews the limited destinations at intervals, because a limit may end without an event, and because at a
+// destination that fails now and then it begins and ends many times a second.
+void Dispatcher::State::review_limited_destinations() {
+  if (limited_destinations.empty() || round.now() < next_limit_review_at) return;
+  next_limit_review_at = round.now() + kLimitReviewInterval;
+  std::erase_if(limited_destinations, [this](DestinationId destination) {
+    const auto& endpoints = directory.endpoints_of(destination);
+    const bool is_limited = std::any_of(endpoints.begin(), endpoints.end(), [this](EndpointState* endpoint) {
+      return directory.scope_of(*endpoint).slow_start.has_recent_outage(round);
+    });
+    if (!is_limited) round.log("destination_unlimited destination=" + std::to_string(destination));
+    return !is_limited;
+  });
+}
+
 void Dispatcher::State::add_or_update(const Endpoint& info) {
   const auto [endpoint, is_new] = directory.update(info);
   directory.scope_of(endpoint).limiter.initialize_from_weight(round, info.weight);
@@ -190,7 +231,9 @@
       .demand = (endpoint.is_independent ? endpoint.demand : scope.arrivals).rate(round.now()),
       .rate_limit = scope.limiter.rate_limit()};
   if (outcome == Outcome::succeeded) {
-    scope.slow_start.on_served(round, sent_at, load);
+    if (scope.slow_start.on_served(round, sent_at, load))
+      round.log("destination_slow_start destination=" + std::to_string(endpoint.info.destination) +
+                " endpoint=" + endpoint.info.id);
     return;
   }
   const Time blocked_until = scope.limiter.retry_after_until();
@@ -198,9 +241,10 @@
   const bool is_short_rejection =
       outcome == Outcome::rejected && blocked_until <= round.now() + settings.overload_duration;
   const bool is_weak_evidence = outcome == Outcome::error || outcome == Outcome::reset || is_short_rejection;
-  scope.slow_start.on_unsuccessful(
+  const bool is_first = scope.slow_start.on_unsuccessful(
       round, {.sent_at = sent_at, .is_weak_evidence = is_weak_evidence, .blocked_until = blocked_until},
       load);
+  if (is_first) on_destination_limited(endpoint.info.destination, cause_name(outcome));
 }
 
 void Dispatcher::State::on_served(EndpointState& endpoint, Time sent_at, const event::AttemptEnded& attempt) {
@@ -311,13 +355,21 @@
       });
       if (found == destinations.end()) continue;
       RateLimitScope& scope = found->second.scope;
-      line.name == kDestinationLine ? restore_fields(line, scope)
-                                    : restore_fields(line, scope.slow_start.record());
+      if (line.name == kDestinationLine) {
+        restore_fields(line, scope);
+      } else {
+        restore_fields(line, scope.slow_start.record());
+        on_destination_limited(found->first, "upgrade");
+      }
     } else if (line.name == kEndpointLine || line.name == kEndpointSlowStartLine) {
       EndpointState* const endpoint = directory.find(line.subject);
       if (endpoint == nullptr) continue;
-      line.name == kEndpointLine ? restore_fields(line, *endpoint)
-                                 : restore_fields(line, endpoint->own_scope.slow_start.record());
+      if (line.name == kEndpointLine) {
+        restore_fields(line, *endpoint);
+      } else {
+        restore_fields(line, endpoint->own_scope.slow_start.record());
+        on_destination_limited(endpoint->info.destination, "upgrade");
+      }
     }
   }
 }
@@ -345,6 +397,10 @@
   }));
 }
 
+const std::set<DestinationId>& Dispatcher::limited_destinations() const {
+  return state_->limited_destinations;
+}
+
 std::size_t Dispatcher::tracked_object_count() const {
   State& state = *state_;
   return state.directory.endpoints().size() + state.directory.destinations().size() +
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -61,9 +61,11 @@
   void on(const event::HealthCheckEnded& ended);
   void on(const event::GossipReceived& gossip);
   void on(const event::EndpointSuspension& suspension);
+  void on(const event::DestinationLimitRecovered& recovered);
   void on(const event::LearnedStateRestored& restored);
+  void on_destination_limited(DestinationId destination, const char* cause);
+  void review_limited_destinations();
   void add_message(const event::Arrival& arrival);
-  void limit_recovered_destination(DestinationId destination);
   void recover_call(Message& message, const event::CallInFlight& in_flight);
   void remove_if_done(MessageMap::iterator it);
 
@@ -130,6 +132,9 @@
   std::vector<TokenBucket> tenant_buckets;
   Time timer_expires_at = kNever;  // expiry of the earliest pending timer; kNever: none is pending
 
+  std::set<DestinationId> limited_destinations;  // those whose SlowStartPacer is active
+  Time next_limit_review_at = 0;
+
   Time next_poll_at = kNever;
   Time last_poll_at = -kNever;
   double poll_backoff =
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -228,6 +228,22 @@
   EXPECT_EQ(journal.messages().size(), 40U);
 }
 
+TEST_F(JournalTest, LimitedDestinationsSurviveRestartAndCompaction) {
+  {
+    Journal journal(folder, kSizeLimit);
+    journal.record_limited_destinations({1, 2});
+    for (MessageId id = 1; id <= 40; id++) journal.record_message(id, message("m", 20'000));
+    EXPECT_TRUE(journal.compact());  // the first of several steps
+    journal.record_limited_destinations({2, 3});
+    while (journal.compact()) {
+    }
+    EXPECT_TRUE(journal.commit());
+  }
+  const Journal journal(folder, kSizeLimit);
+  EXPECT_EQ(journal.limited_destinations(), (std::set<std::int64_t>{2, 3}));
+  EXPECT_EQ(journal.messages().size(), 40U);
+}
+
 // The process is killed after any step of a compaction, with records written between the steps: every open
 // message and its attempts are recovered.
 TEST_F(JournalTest, RecoversFromACompactionInterruptedAfterAnyStep) {
