--- a/tests/slow_start_process_test.cpp
+++ b/tests/slow_start_process_test.cpp
@@ -17,6 +17,7 @@
 using Seconds = std::chrono::duration<double>;
 
 constexpr int kRelayCount = 48;
+constexpr std::size_t kRelaysPerSeed = 1000;  // keeps the seeds of all relays apart
 constexpr std::size_t kDestinationCount = 6;
 constexpr double kRateLimit = 5;  // calls per second of each destination, over all relays
 constexpr double kCapacity = 1.2 * kRateLimit;
@@ -119,7 +120,7 @@
   std::string config(std::size_t relay) const {
     return R"({"name":"n)" + std::to_string(relay) + R"(","listen":")" + loopback_address() + ":" +
            std::to_string(ports_[relay]) + R"(","discovery":")" + platforms_[relay]->address() +
-           R"(","seed":")" + std::to_string(1000 * scenario_.seed + relay) +
+           R"(","seed":")" + std::to_string(kRelaysPerSeed * scenario_.seed + relay) +
            R"(","limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3},"known":)" +
            endpoint_list(relay) +
            R"(,"settings":{"Classes":[{"Name":"status","Points":1.0,"Target":1500000,"Deadline":8000000,)"
