Measure stored deadlines on the steady clock, so that wall clock steps do not move them

What callers saw: after a restart with the wall clock stepped ahead by an hour, messages that the relay had taken on were given up as expired with no call; stepped back, they would live an hour longer.

Cause: deadlines and send times were kept as wall times, also within one process.

--- a/relay/arrival_event.cpp
+++ b/relay/arrival_event.cpp
@@ -9,7 +9,7 @@
   arrival.destination = message.destination;
   arrival.message_class = names.classes.at(message.message_class);
   arrival.tenant = configuration::index_of(names.tenants, message.tenant);
-  arrival.time_to_deadline = message.deadline - wall_now();
+  arrival.time_to_deadline = message.deadline - journal_now();
   arrival.resubmitted = message.resubmitted;
   arrival.order_key = message.order_key;
   return arrival;
--- a/relay/clock.hpp
+++ b/relay/clock.hpp
@@ -1,9 +1,11 @@
-// The two clocks. Intervals are measured on the steady clock; times that are stored beyond the life of the
-// process are wall times. All times are in microseconds.
+// The clocks. Intervals are measured on the steady clock. Times that are stored beyond the life of the
+// process are journal times: steady times plus an offset that the processes on one state folder share, so
+// that steps of the system's wall clock do not move them. All times are in microseconds.
 #pragma once
 
 #include <algorithm>
 #include <chrono>
+#include <string>
 
 #include "dispatch/dispatcher.hpp"
 
@@ -16,12 +18,20 @@
              std::chrono::steady_clock::now().time_since_epoch())
       .count();
 }
+// The system's wall clock, which may be stepped in either direction.
 inline Time wall_now() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
+// The present journal time. Before load_journal_clock(), it begins at the wall time of the first call.
+[[nodiscard]] Time journal_now();
+// Continues the journal time of the earlier processes on this state folder. If there is none, or if the
+// machine has been restarted since, it begins at the present wall time and is stored for the next process.
+// Logs an error and goes on if the file cannot be read or written.
+void load_journal_clock(const std::string& folder);
+
 // Converts the time that a timer should wait; a negative time becomes 0.
 inline std::chrono::microseconds to_duration(Time time) {
   return std::chrono::microseconds(std::max<Time>(time, 0));
--- a/relay/journal_records.hpp
+++ b/relay/journal_records.hpp
@@ -46,7 +46,7 @@
 // An attempt was started. The attempts of a message are numbered from 0, in the order of their records.
 struct AttemptRecord {
   MessageId id = 0;
-  Time sent_at = 0;  // wall time, microseconds
+  Time sent_at = 0;  // journal time, microseconds
   int zone = -1;     // zone of the endpoint; -1: unknown
 };
 // An attempt ended.
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -11,6 +11,7 @@
 #include <exception>
 #include <string>
 
+#include "clock.hpp"
 #include "config.hpp"
 #include "handover.hpp"
 #include "log.hpp"
@@ -52,6 +53,7 @@
   // No signal handlers are installed yet: while another process owns the folder, a signal ends this process
   // at once. That is safe, since it has not accepted any messages.
   message_relay::StartupOwnership ownership = message_relay::acquire_ownership(config.state_folder);
+  message_relay::load_journal_clock(config.state_folder);
   // The handlers are installed before the journal is read, which can take long. A signal that arrives
   // meanwhile is handled once the event loop runs.
   signal_set stop_signals(io, SIGTERM, SIGINT);
--- a/relay/message.hpp
+++ b/relay/message.hpp
@@ -20,7 +20,7 @@
   std::string message_class;
   std::string tenant;  // empty: no tenant
   std::int64_t destination = 0;
-  Time deadline = 0;         // wall time, microseconds
+  Time deadline = 0;         // journal time, microseconds
   bool resubmitted = false;  // the client has submitted the message before
   std::string body;
   std::string idempotency_key;  // lets the endpoint detect retries; empty: no key
@@ -29,7 +29,7 @@
 
 // One attempt to deliver a message.
 struct Attempt {
-  Time sent_at = 0;                // wall time, microseconds
+  Time sent_at = 0;                // journal time, microseconds
   int zone = -1;                   // zone of the endpoint; -1: unknown
   std::optional<Outcome> outcome;  // empty: not known, for example because the process ended first
 
--- a/relay/plan_builder.cpp
+++ b/relay/plan_builder.cpp
@@ -30,7 +30,7 @@
   if (entry == journal_.messages().end() || entry->second.final_answer) return;
   const dispatch::Endpoint* endpoint = directory_.find(send.endpoint);
   OutgoingMessage message = outgoing_message(send, entry->second);
-  journal_.record_attempt(send.id, wall_now(), endpoint == nullptr ? kUnknownZone : endpoint->zone);
+  journal_.record_attempt(send.id, journal_now(), endpoint == nullptr ? kUnknownZone : endpoint->zone);
   add_to_call(send.endpoint, max_batch_size(endpoint), std::move(message));
 }
 
@@ -44,7 +44,7 @@
   outgoing.client_id = message.id;
   outgoing.body = message.body;
   outgoing.idempotency_key = message.idempotency_key;
-  outgoing.time_to_deadline = message.deadline - wall_now() - 2 * settings_.min_round_interval;
+  outgoing.time_to_deadline = message.deadline - journal_now() - 2 * settings_.min_round_interval;
   if (send.start_within > 0) outgoing.start_by = now_ + send.start_within;
   return outgoing;
 }
--- a/relay/recovery.cpp
+++ b/relay/recovery.cpp
@@ -28,9 +28,9 @@
     const bool is_in_flight = recovered.in_flight && static_cast<int>(i) == recovered.in_flight->attempt;
     if (is_in_flight || !attempts[i].may_have_executed()) continue;
     recovered.possible_execution_zone = attempts[i].zone;
-    // Converted from wall time to steady time; the result may precede the start of the steady clock and be
+    // Converted from journal time to steady time; the result may precede the start of the steady clock and be
     // negative.
-    const Time elapsed = std::max<Time>(wall_now() - attempts[i].sent_at, 0);
+    const Time elapsed = std::max<Time>(journal_now() - attempts[i].sent_at, 0);
     recovered.possible_execution_sent_at = steady_now() - elapsed;
     return;
   }
--- a/relay/request_parser.cpp
+++ b/relay/request_parser.cpp
@@ -158,7 +158,7 @@
   message.message_class = std::string(path.message_class);
   message.tenant = std::string(request[kTenantHeader]);
   message.destination = *destination;
-  message.deadline = wall_now() + *time_to_deadline;
+  message.deadline = journal_now() + *time_to_deadline;
   message.idempotency_key = std::string(request[kIdempotencyKeyHeader]);
   if (class_settings.ordered) message.order_key = std::string(path.order_key);
   message.resubmitted = request[kResubmissionHeader] == "1";
--- a/scale/sample_message.hpp
+++ b/scale/sample_message.hpp
@@ -22,7 +22,7 @@
   message.id = std::to_string(kFirstSampleId + id);
   message.message_class = kMessageClass;
   message.destination = destination;
-  message.deadline = message_relay::wall_now() + kSampleTimeToDeadline;
+  message.deadline = message_relay::journal_now() + kSampleTimeToDeadline;
   message.body = std::string(static_cast<std::size_t>(body_bytes), 'x');
   return message;
 }
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -263,7 +263,7 @@
   };
   extra_classes = keyed_class("short", "1000000") + keyed_class("long", "3600000000");
   {
-    const Time now = wall_now();
+    const Time now = journal_now();
     const Time before = now - 10'000'000;
     Journal journal(folder + "/state", 3'000'000);
     const auto record = [&](MessageId id, const std::string& message_class,
@@ -1104,7 +1104,7 @@
     message.id = "held";
     message.message_class = kNonIdempotentClass;
     message.destination = 7;
-    message.deadline = wall_now() + 600'000'000;
+    message.deadline = journal_now() + 600'000'000;
     journal.record_message(1, message);
     message.body = std::string(60'000, 'x');
     for (MessageId id = 2; journal.bytes_on_disk() < disk_bytes / 100 * 95; id++) {
