--- a/relay/clock.hpp
+++ b/relay/clock.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 #include "dispatch/dispatcher.hpp"
@@ -25,6 +26,9 @@
       .count();
 }
 
+// The disk space in bytes that load_journal_clock() may take in the state folder, for two files of one block.
+inline constexpr std::uint64_t kJournalClockBytes = 1024;
+
 // The present journal time. Before load_journal_clock(), it begins at the wall time of the first call.
 [[nodiscard]] Time journal_now();
 // Continues the journal time of the earlier processes on this state folder. If there is none, or if the
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "clock.hpp"
 #include "log.hpp"
 #include "recovery.hpp"
 
@@ -65,7 +66,7 @@
     : io_(io),
       config_(config),
       ownership_(std::move(ownership)),
-      journal_(config.state_folder, config.disk_bytes),
+      journal_(config.state_folder, config.disk_bytes - kJournalClockBytes),
       dispatcher_(config.settings, config.seed),
       metrics_(config.setting_names.classes),
       registry_(journal_, metrics_, longest_deadline(config.settings)),
