--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 UPGRADES = 40
 # The last group of charges of an upgrade is handed in this long before the old process is expected to end:
 # one of these in turn. All other groups come at arbitrary moments.
-LEADS = (0.008, 0.010, 0.011, 0.012, 0.014)
+LEADS = (0.008, 0.010, 0.011, 0.012, 0.013, 0.015)
 
 
 def quiet_peer(record, relay):
--- a/review/rig.py
+++ b/review/rig.py
@@ -3,9 +3,9 @@
 Everything listens on 127.0.0.1. All times in the record are seconds since the start of the case, on the
 monotonic clock. One request at a time is sent on each client connection, as the protocol page says.
 """
-import base64
 import json
 import os
+import re
 import secrets
 import shutil
 import signal
@@ -15,7 +15,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -313,8 +312,8 @@
         self.starts = 0
         self.operator = False
         self.op = None
-        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            self.command = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy", "balancer.toml"), encoding="utf-8") as file:
+            self.command = re.search(r'^run *= *"([^"]*)"', file.read(), re.MULTILINE).group(1)
 
     def start(self, wait_ready=True):
         self.starts += 1
@@ -383,14 +382,15 @@
             self.sock.close()
         self.sock = None
 
-    def submit(self, message_class, dest, deadline_ms, body=b"hello", message_id=None):
+    def submit(self, message_class, dest, deadline_ms, body=b"hello", message_id=None, retry=False):
         """Returns (id, status); the status is None if there was no answer within 400 ms."""
         message_id = message_id or secrets.token_hex(8)
         self.record.add("handed_in", id=message_id, message_class=message_class, dest=dest,
                         deadline_ms=deadline_ms, body_bytes=len(body), relay=self.relay.name)
         head = (f"POST /{message_class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: {message_id}\r\n"
                 f"X-Class: {message_class}\r\nX-Deadline: {deadline_ms}m\r\n"
-                f"Content-Length: {len(body)}\r\nX-Consignee: dest={dest}\r\n\r\n")
+                f"Content-Length: {len(body)}\r\nX-Consignee: dest={dest}\r\n"
+                + ("X-Retry: 1\r\n" if retry else "") + "\r\n")
         status = None
         try:
             if self.sock is None:
@@ -492,10 +492,6 @@
     os._exit(status)
 
 
-def decode_body(text):
-    return base64.b64decode(text)
-
-
 class Destination:
     """A destination with several endpoints that share one capacity, and its outages.
 
