--- a/review/rig.py
+++ b/review/rig.py
@@ -11,7 +11,6 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -309,6 +308,7 @@
         self.known = known
         self.limits = limits or {"cores": 1.0, "memory_mb": 128, "sockets": 512, "disk_mb": 3}
         self.process = None
+        self.processes = []  # all that were started, also by upgrades
         self.starts = 0
         self.operator = False
         self.op = None
@@ -334,6 +334,7 @@
         log = open(os.path.join(self.folder, self.name + ".log"), "a", encoding="utf-8")
         self.process = subprocess.Popen(["/bin/sh", "-c", self.command], cwd=ROOT, env=environment,
                                         stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.processes.append(self.process)
         self.record.add("relay_started", name=self.name, pid=self.process.pid)
         if wait_ready:
             self.wait_until_ready()
@@ -457,39 +458,44 @@
     return settings
 
 
+# Statuses of a case's process. run.sh turns them into 1, 0 and 2, and any other status into 2.
+BROKEN, HELD, NOT_RUN = 10, 0, 2
+
+
+def interrupt(number, _):
+    raise CannotRun(f"ended by signal {number}")
+
+
 def run_case(folder, case):
-    """Runs `case(record, scratch, relays)`, which returns the list of breaches of the rule. Exits with 1 if
-    there is one, with 0 if there is none and with 2 if the case could not run."""
+    """Runs `case(record, scratch, relays)`, which returns the list of breaches of the rule, and exits with the
+    status of the result."""
+    signal.signal(signal.SIGTERM, interrupt)
     record = Record(os.path.join(folder, "record.txt"))
     record.add("case", trouble=int(TROUBLE))
     scratch = tempfile.mkdtemp(prefix="relay-case-")
     relays = []
-    status = 2
+    status = NOT_RUN
     try:
         breaches = case(record, scratch, relays)
         for breach in breaches:
             record.add("BROKEN", what=breach)
-            print("BROKEN:", breach)
-        status = 1 if breaches else 0
-    except Exception as error:  # pylint: disable=broad-except
+        status = BROKEN if breaches else HELD
+    except BaseException as error:  # pylint: disable=broad-except
         record.add("could_not_run", error=repr(error))
-        print("could not run:", repr(error))
     finally:
-        for relay in relays:
-            if relay.process and relay.process.poll() is None:
-                relay.process.kill()
-                relay.process.wait()
+        for process in [process for relay in relays for process in relay.processes]:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
         for relay in relays:
             try:
                 for line in relay.log_text().splitlines():
                     record.add("log", relay=relay.name, line=line)
             except OSError:
                 pass
-        record.add("result", exit=status)
+        record.add("result", status={BROKEN: "broken", HELD: "held", NOT_RUN: "not run"}[status])
         shutil.rmtree(scratch, ignore_errors=True)
-    print("exit", status)
-    sys.stdout.flush()
-    os._exit(status)
+        os._exit(status)
 
 
 class Destination:
