End no call as not sent that the kernel has taken whole

Cause: the stage `writing` of a call lasted until the completion handler of `http::async_write` ran. On a connection that is reused, the kernel takes the request in the call that starts the write, and the handler waits in the queue of the event loop. `cancel_all_unsent`, called from the timer of the upgrade, ended such a call as not sent.

Change: a call writes and reads with operations that are complete when they return, and only waits for readiness (`relay/socket_io.hpp`). Its stage therefore always agrees with the kernel: nothing is written while connecting, a part at most while writing, all of it while awaiting the response. Only the first two can end as not sent, because an endpoint starts a request once its last byte has arrived. The same cause in the other direction: a call that is timed out or cancelled first reads what has arrived, so that a response in the receive buffer counts.

--- a/relay/delivery_call.cpp
+++ b/relay/delivery_call.cpp
@@ -12,6 +12,8 @@
 #include <map>
 #include <utility>
 
+#include "socket_io.hpp"
+
 namespace message_relay {
 
 namespace net = boost::asio;
@@ -71,6 +73,20 @@
   return states;
 }
 
+std::string serialize(const http::request<http::string_body>& request) {
+  http::request_serializer<http::string_body> serializer(request);
+  std::string bytes;
+  error_code error;
+  const auto append = [&](error_code&, const auto& buffers) {
+    for (auto buffer = net::buffer_sequence_begin(buffers); buffer != net::buffer_sequence_end(buffers);
+         ++buffer)
+      bytes.append(static_cast<const char*>((*buffer).data()), (*buffer).size());
+    serializer.consume(net::buffer_size(buffers));
+  };
+  while (!serializer.is_done() && !error) serializer.next(error, append);
+  return bytes;
+}
+
 // Whether the outcome does not tell if the endpoint processed the message.
 bool leaves_result_unknown(Outcome outcome) {
   return outcome == Outcome::reset || outcome == Outcome::timeout || outcome == Outcome::cancelled;
@@ -130,29 +146,21 @@
   std::erase_if(messages_, [](const PendingMessage& pending) { return pending.ended; });
   prepare_request();
   stage_ = Stage::writing;
-  http::async_write(connection_->socket, request_,
-                    [self = shared_from_this()](error_code error, std::size_t) {
-                      if (self->is_finished()) return;
-                      // The request was not written completely, so the endpoint cannot have started to
-                      // process it.
-                      if (error) return self->end_all_attempts({Outcome::connect_failed});
-                      self->environment_.owner.on_request_written(self->messages_.size());
-                      self->stage_ = Stage::awaiting_response;
-                      self->read_response();
-                    });
+  write_request();
 }
 
 void DeliveryCall::prepare_request() {
   Time longest_timeout = 0;
   for (const auto& pending : messages_) longest_timeout = std::max(longest_timeout, pending.message.timeout);
   const bool is_batch = messages_.size() > 1;
-  request_.method(http::verb::post);
-  request_.version(kHttpVersion);
-  request_.target(is_batch ? "/events/bundle" : "/events");
-  request_.set(http::field::host, "origin.svc");
-  request_.set("X-Deadline", std::to_string(longest_timeout) + "u");
+  http::request<http::string_body> request;
+  request.method(http::verb::post);
+  request.version(kHttpVersion);
+  request.target(is_batch ? "/events/bundle" : "/events");
+  request.set(http::field::host, "origin.svc");
+  request.set("X-Deadline", std::to_string(longest_timeout) + "u");
   if (is_batch) {
-    request_.set(http::field::content_type, "application/json");
+    request.set(http::field::content_type, "application/json");
     rapidjson::StringBuffer buffer;
     JsonWriter writer(buffer);
     writer.StartArray();
@@ -161,14 +169,37 @@
       pending.message.body.clear();
     }
     writer.EndArray();
-    request_.body().assign(buffer.GetString(), buffer.GetSize());
+    request.body().assign(buffer.GetString(), buffer.GetSize());
   } else {
     OutgoingMessage& message = messages_.front().message;
-    request_.set("X-Request-Id", message.client_id);
-    if (!message.idempotency_key.empty()) request_.set("Idempotency-Key", message.idempotency_key);
-    request_.body() = std::move(message.body);
+    request.set("X-Request-Id", message.client_id);
+    if (!message.idempotency_key.empty()) request.set("Idempotency-Key", message.idempotency_key);
+    request.body() = std::move(message.body);
+  }
+  request.prepare_payload();
+  unwritten_request_ = serialize(request);
+}
+
+void DeliveryCall::write_request() {
+  while (!unwritten_request_.empty()) {
+    const IoResult result = write_available(connection_->socket, net::buffer(unwritten_request_));
+    if (result.would_block()) return wait_until_writable();
+    // The request was not written completely, so the endpoint cannot have started to process it.
+    if (result.error) return end_all_attempts({Outcome::connect_failed});
+    unwritten_request_.erase(0, result.bytes);
   }
-  request_.prepare_payload();
+  unwritten_request_ = std::string();  // frees the memory
+  environment_.owner.on_request_written(messages_.size());
+  stage_ = Stage::awaiting_response;
+  read_response();
+}
+
+void DeliveryCall::wait_until_writable() {
+  connection_->socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+    if (self->is_finished()) return;
+    if (error) return self->end_all_attempts({Outcome::connect_failed});
+    self->write_request();
+  });
 }
 
 // ---- Response. ----
@@ -180,27 +211,50 @@
 }
 
 void DeliveryCall::receive(error_code error) {
+  process(error ? ResponseReader::State::malformed : read_arrived_bytes());
+}
+
+// Reads until the response is complete or malformed or nothing more has arrived.
+ResponseReader::State DeliveryCall::read_arrived_bytes() {
   using State = ResponseReader::State;
-  if (error) return process(State::malformed);
   auto& buffer = environment_.read_buffer;
-  const std::size_t size = connection_->socket.read_some(net::buffer(buffer), error);
-  if (error == net::error::would_block) return read_response();
-  if (error == net::error::eof) return process(response_.finish());
-  if (error) return process(State::malformed);
-  const State state = response_.append(buffer.data(), size);
-  response_bytes_.append(buffer.data(), size);
+  while (true) {
+    const IoResult result = read_available(connection_->socket, net::buffer(buffer));
+    if (result.would_block()) return State::incomplete;
+    if (result.error == net::error::eof) return response_.finish();
+    if (result.error) return State::malformed;
+    response_bytes_.append(buffer.data(), result.bytes);
+    const State state = response_.append(buffer.data(), result.bytes);
+    if (state != State::incomplete) return state;
+  }
+}
+
+// Returns whether the time at which the response must be complete has changed.
+bool DeliveryCall::update_response_due() {
+  const bool has_started = response_.has_started();
+  if (has_started == (response_due_ > 0)) return false;
+  response_due_ = has_started ? steady_now() + kResponseTimeout : 0;
+  return true;
+}
+
+// Ends the call if the kernel holds the rest of its response already. Called before the call is given up for
+// lack of a response: the handler that reads it may not have run yet.
+bool DeliveryCall::end_if_response_arrived() {
+  if (!awaits_response()) return false;
+  const ResponseReader::State state = read_arrived_bytes();
+  if (state == ResponseReader::State::incomplete) {
+    update_response_due();
+    return false;
+  }
   process(state);
+  return true;
 }
 
 void DeliveryCall::process(ResponseReader::State state) {
   using State = ResponseReader::State;
   if (state == State::complete) return process_response();
   if (state == State::malformed) return fail_response();
-  const bool has_started = response_.has_started();
-  if (has_started != (response_due_ > 0)) {
-    response_due_ = has_started ? steady_now() + kResponseTimeout : 0;
-    restart_timer();
-  }
+  if (update_response_due()) restart_timer();
   read_response();
 }
 
@@ -294,6 +348,7 @@
 }
 
 void DeliveryCall::on_timer() {
+  if (end_if_response_arrived()) return;
   const Time now = steady_now();
   const bool was_connecting = is_connecting();
   if (was_connecting && now >= connect_due()) return end_all_attempts({Outcome::connect_failed});
@@ -373,6 +428,7 @@
     return !pending.ended && pending.message.id == id && pending.message.attempt == attempt;
   });
   if (found == messages_.end()) return false;
+  if (end_if_response_arrived()) return true;
   stop_waiting_for(*found, is_connecting() ? Outcome::connect_failed : Outcome::cancelled);
   return true;
 }
--- a/relay/delivery_call.hpp
+++ b/relay/delivery_call.hpp
@@ -6,8 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <limits>
@@ -107,7 +105,8 @@
   void resume(const InFlightCall& handed_over);
   // Cancels an attempt. Returns false if it does not belong to this call or has already ended.
   bool cancel(MessageId id, int attempt);
-  // Ends all messages as not sent. Only for a call whose request has not been written completely.
+  // Ends all messages as not sent. Only for a call whose request has not been written completely: an endpoint
+  // starts to process a request once its last byte has arrived.
   void abort();
 
   const EndpointId& endpoint() const { return endpoint_; }
@@ -119,6 +118,8 @@
   InFlightCall state() const;
 
  private:
+  // The stage always agrees with the kernel: nothing of the request has been written while connecting, a part
+  // of it at most while writing, and all of it while awaiting the response.
   enum class Stage { connecting, writing, awaiting_response, finished };
   struct PendingMessage {
     OutgoingMessage message;
@@ -136,8 +137,13 @@
   void connect(const boost::asio::ip::tcp::endpoint& address);
   void send_request();
   void prepare_request();
+  void write_request();
+  void wait_until_writable();
   void read_response();
   void receive(boost::system::error_code error);
+  ResponseReader::State read_arrived_bytes();
+  bool end_if_response_arrived();
+  bool update_response_due();
   void process(ResponseReader::State state);
   void process_response();
   AttemptResult result_of_status();
@@ -165,7 +171,7 @@
   Time sent_at_ = 0;  // steady time, microseconds
   std::shared_ptr<Connection> connection_;
   boost::asio::steady_timer timer_;
-  boost::beast::http::request<boost::beast::http::string_body> request_;
+  std::string unwritten_request_;  // the part of the request that the kernel has not accepted yet
   ResponseReader response_;
   std::string response_bytes_;  // the part of the response that has arrived
   // Steady time in microseconds at which a started response must be complete; 0 if none has started.
--- a/relay/delivery_client.cpp
+++ b/relay/delivery_client.cpp
@@ -71,9 +71,14 @@
     if (call->endpoint() == endpoint && call->is_connecting()) call->abort();
 }
 
-void DeliveryClient::cancel_all_unsent() {
-  for (const auto& call : calls())
-    if (call->is_connecting() || call->is_writing()) call->abort();
+std::size_t DeliveryClient::cancel_all_unsent() {
+  std::size_t count = 0;
+  for (const auto& call : calls()) {
+    if (!call->is_connecting() && !call->is_writing()) continue;
+    call->abort();
+    count++;
+  }
+  return count;
 }
 
 bool DeliveryClient::all_calls_written() const {
--- a/relay/delivery_client.hpp
+++ b/relay/delivery_client.hpp
@@ -46,8 +46,8 @@
   void cancel(MessageId id, int attempt);
   // Ends, as not sent, the calls to an endpoint of whose requests nothing has been written yet.
   void cancel_unsent(const EndpointId& endpoint);
-  // Ends, as not sent, all calls whose requests have not been written completely.
-  void cancel_all_unsent();
+  // Ends, as not sent, all calls whose requests have not been written completely. Returns their number.
+  std::size_t cancel_all_unsent();
   void close_idle(const EndpointId& endpoint);
   void close_all_idle();
 
--- a/tests/delivery_client_test.cpp
+++ b/tests/delivery_client_test.cpp
@@ -61,6 +61,36 @@
   wait_for([&] { return endpoint.sessions[0]->closed; }, "its connection is closed");
 }
 
+// Guards against messages that are sent twice after an upgrade: a call that the kernel has taken whole, but
+// whose handlers have not run, was ended as not sent.
+TEST_F(DeliveryClientTest, ACallWrittenWholeIsNotEndedAsNotSent) {
+  client.send("s-1", {message(1, kLongTimeout)});
+  wait_for([&] { return endpoint.received.size() == 1; }, "the first call");
+  endpoint.received[0].session->respond(200);
+  wait_for([&] { return ended.size() == 1; }, "its end");
+  const Time reusable_at = steady_now() + 10'000;
+  wait_for([&] { return steady_now() > reusable_at; }, "the connection can be reused");
+  client.send("s-1", {message(2, kLongTimeout)});
+  io.restart();
+  // Stops at the first handler after which the request is in the endpoint's receive buffer.
+  while (endpoint.sessions[0]->socket.available() == 0 && endpoint.received.size() == 1) io.run_one();
+  client.cancel_all_unsent();
+  EXPECT_EQ(ended.size(), 1U);
+  ASSERT_EQ(client.in_flight_calls().size(), 1U);
+  EXPECT_EQ(client.in_flight_calls()[0].messages[0].id, 2U);
+}
+
+// Guards against giving up a delivered message: the response may have arrived although its handler has not
+// run.
+TEST_F(DeliveryClientTest, AResponseThatHasArrivedCountsForACancelledCall) {
+  client.send("s-1", {message(1, kLongTimeout)});
+  wait_for([&] { return endpoint.received.size() == 1; }, "the call");
+  endpoint.received[0].session->respond(200);
+  client.cancel(1, 0);
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_EQ(ended[0].outcome, Outcome::succeeded);
+}
+
 // A response that is in time for other messages of the batch also counts for a message whose own timeout has
 // passed.
 TEST_F(DeliveryClientTest, AResponseCountsForAMessageOfTheBatchThatTimedOut) {
