Lose no request that is being read at an upgrade, a shutdown or a timeout

What callers saw: connections closed without an answer while their request was being read.

Cause: the ingress server took a connection for idle, reading or accepted by the handlers that had run. Behind that, the kernel or a queued handler held a request: accepted sockets waited for the handler of `async_accept`, bytes that `async_read` had taken were in a buffer of their own, and at an upgrade every connection that was not idle was closed. At the end of a shutdown and at a timeout requests that had arrived were not looked at.

Change: connections are accepted and read in the handler that learns of readiness, and every byte that was read is kept until its request is answered. A connection with a part of a request is handed over with that part (record `reading_client`), so that an upgrade no longer waits for quiet peers; requests that wait for their answer get it first. At the end of a shutdown a last round answers what was admitted, and requests that have arrived are rejected with 503, also on connections that were not accepted. At a timeout what has arrived is read first; an incomplete request is answered with 408, an evicted one with 503. Where a connection must be closed for lack of descriptors, those with a part of a request are kept first. A handover that is not quiescent in time now logs what it ended.

Tests: HandoverTest.SuccessorReadsTheRestOfAPartialRequest, RelayTest.PartialRequestAtTheEndOfTheShutdownIsRejected, RelayTest.RequestThatArrivedDuringAStallIsAnswered.

--- a/relay/graceful_shutdown.cpp
+++ b/relay/graceful_shutdown.cpp
@@ -39,10 +39,7 @@
   const bool finished =
       deliveries_finished() && clients_finished(elapsed) && collaborators_.write_ahead.journal_writable();
   if (finished || elapsed >= kMaxDuration) {
-    log("stopped: " + std::to_string(collaborators_.journal.messages().size()) +
-        " messages left in the journal, " + std::to_string(collaborators_.delivery.in_flight_count()) +
-        " calls in flight");
-    done_();
+    finish();
     return;
   }
   timer_.expires_after(kCheckInterval);
@@ -51,6 +48,18 @@
   });
 }
 
+// The last round answers the requests whose messages wait to be recorded. What can't be answered any more is
+// rejected.
+void GracefulShutdown::finish() {
+  collaborators_.round.stop_dispatching();
+  collaborators_.round.run();
+  collaborators_.ingress.reject_and_close_all();
+  log("stopped: " + std::to_string(collaborators_.journal.messages().size()) +
+      " messages left in the journal, " + std::to_string(collaborators_.delivery.in_flight_count()) +
+      " calls in flight");
+  done_();
+}
+
 bool GracefulShutdown::deliveries_finished() const {
   return collaborators_.delivery.in_flight_count() == 0 &&
          (!collaborators_.round.is_dispatching() || collaborators_.journal.messages().empty());
--- a/relay/graceful_shutdown.hpp
+++ b/relay/graceful_shutdown.hpp
@@ -37,6 +37,8 @@
   [[nodiscard]] bool deliveries_finished() const;
   // `elapsed` is the time since the shutdown began, in microseconds.
   [[nodiscard]] bool clients_finished(Time elapsed) const;
+  // Answers the requests that have arrived, then lets the process end.
+  void finish();
 
   Collaborators collaborators_;
   boost::asio::steady_timer timer_;
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -82,8 +82,9 @@
     return RecordResult::more;
   }
   if (tag == HandoverRecordTag::listener) state.listener = fd.get();
-  if (tag == HandoverRecordTag::client) {
-    state.clients.push_back(decode_client(in));
+  if (tag == HandoverRecordTag::client || tag == HandoverRecordTag::reading_client) {
+    const bool is_reading = tag == HandoverRecordTag::reading_client;
+    state.clients.push_back(is_reading ? decode_reading_client(in) : decode_client(in));
     state.clients.back().socket = fd.get();
   }
   if (tag == HandoverRecordTag::call) {
@@ -188,7 +189,7 @@
   if (!channel.send(encode_state(state))) return false;
   if (!channel.send(encode_tag(HandoverRecordTag::folder_lock), lock)) return false;
   if (!channel.send(encode_tag(HandoverRecordTag::listener), state.listener)) return false;
-  for (const IdleClient& client : state.clients)
+  for (const ClientConnection& client : state.clients)
     if (!channel.send(encode_client(client), client.socket)) return false;
   for (const InFlightCall& call : state.calls)
     if (!channel.send(encode_call(call), call.socket)) return false;
--- a/relay/handover_state.cpp
+++ b/relay/handover_state.cpp
@@ -121,20 +121,29 @@
   });
 }
 
-std::string encode_client(const IdleClient& client) {
-  return begin_record(HandoverRecordTag::client)
-      .number(client.served_before)
-      .number(client.idle_since)
-      .payload();
+std::string encode_client(const ClientConnection& client) {
+  const bool is_reading = !client.received_bytes.empty();
+  BinaryWriter record =
+      begin_record(is_reading ? HandoverRecordTag::reading_client : HandoverRecordTag::client);
+  record.number(client.served_before).number(client.idle_since);
+  if (is_reading) record.number(client.timeout_at).text(client.received_bytes);
+  return record.payload();
 }
 
-IdleClient decode_client(BinaryReader& in) {
-  IdleClient client;
+ClientConnection decode_client(BinaryReader& in) {
+  ClientConnection client;
   client.served_before = in.number<bool>();
   client.idle_since = in.number<Time>();
   return client;
 }
 
+ClientConnection decode_reading_client(BinaryReader& in) {
+  ClientConnection client = decode_client(in);
+  client.timeout_at = in.number<Time>();
+  client.received_bytes = in.text();
+  return client;
+}
+
 std::string encode_call(const InFlightCall& call) {
   BinaryWriter record = begin_record(HandoverRecordTag::call);
   record.text(call.endpoint)
--- a/relay/handover_state.hpp
+++ b/relay/handover_state.hpp
@@ -27,7 +27,7 @@
   std::vector<std::string> ever_listed;    // ids of all endpoints that any list has named
   std::vector<std::int64_t> destinations;  // all destinations that any list has named
   std::vector<CompletedId> completed_ids;
-  std::vector<IdleClient> clients;
+  std::vector<ClientConnection> clients;
   std::vector<InFlightCall> calls;
   int listener = -1;  // the listening socket for clients; -1: not set
 };
@@ -38,6 +38,7 @@
   folder_lock = 'K',
   listener = 'L',
   client = 'C',
+  reading_client = 'R',  // a client connection with a part of a request; earlier builds do not know it
   call = 'O',
   end = 'E',
 };
@@ -45,7 +46,7 @@
 // Each of these functions encodes one record, including its tag.
 [[nodiscard]] std::string encode_tag(HandoverRecordTag tag);
 [[nodiscard]] std::string encode_state(const HandoverState& state);
-[[nodiscard]] std::string encode_client(const IdleClient& client);
+[[nodiscard]] std::string encode_client(const ClientConnection& client);
 [[nodiscard]] std::string encode_call(const InFlightCall& call);
 
 // decode_tag() reads the tag of a record; the other functions read the fields after the tag. The caller
@@ -53,7 +54,8 @@
 // configuration::FieldError if an address is malformed.
 [[nodiscard]] HandoverRecordTag decode_tag(BinaryReader& in);
 void decode_state(BinaryReader& in, HandoverState& state);
-[[nodiscard]] IdleClient decode_client(BinaryReader& in);
+[[nodiscard]] ClientConnection decode_client(BinaryReader& in);
+[[nodiscard]] ClientConnection decode_reading_client(BinaryReader& in);
 [[nodiscard]] InFlightCall decode_call(BinaryReader& in);
 
 }  // namespace message_relay
--- a/relay/ingress_server.cpp
+++ b/relay/ingress_server.cpp
@@ -1,11 +1,13 @@
 #include "ingress_server.hpp"
 
 #include <algorithm>
+#include <boost/system/system_error.hpp>
 #include <chrono>
 #include <cstddef>
 #include <utility>
 
 #include "ingress_session.hpp"
+#include "socket_io.hpp"
 
 namespace message_relay {
 
@@ -35,41 +37,66 @@
       on_message_(std::move(on_message)),
       is_ready_(std::move(is_ready)),
       rejections_(io, "clients: rejected") {
-  accept();
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  // Without this option, accept() would wait for the next connection after one that its peer has reset.
+  if (!error) acceptor_.set_option(net::socket_base::enable_connection_aborted(true), error);
+  if (error) throw boost::system::system_error(error, "clients: listening socket");
+  accept_when_ready();
 }
 IngressServer::~IngressServer() = default;
 
-void IngressServer::accept() {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+// Connections are accepted in the handler, so that none waits in an accepted state for a handler to run; one
+// at a time, so that what the others have sent is read in between.
+void IngressServer::accept_when_ready() {
+  acceptor_.async_wait(tcp::acceptor::wait_read, [this](error_code error) {
     if (error == net::error::operation_aborted) return;
-    if (error) {
-      log("clients: accept failed: " + error.message());
-      return schedule_accept_retry();
-    }
-    evict_session_if_needed();
-    if (sessions_.size() >= limits_.max_connections) {
-      rejections_.count("too many connections");
-    } else {
-      error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      start_session(std::move(socket), false, steady_now());
-    }
-    accept();
+    if (error || accept_one() == AcceptResult::failed) return schedule_accept_retry();
+    accept_when_ready();
   });
 }
 
+IngressServer::AcceptResult IngressServer::accept_one() {
+  tcp::socket socket(io_);
+  error_code error;
+  acceptor_.accept(socket, error);
+  if (error == net::error::would_block) return AcceptResult::none_waiting;
+  // The peer has gone, or a signal came first. Others may wait.
+  if (error == net::error::connection_aborted || error == net::error::interrupted)
+    return AcceptResult::peer_gone;
+  if (error) {
+    log("clients: accept failed: " + error.message());
+    return AcceptResult::failed;
+  }
+  admit(std::move(socket));
+  return AcceptResult::accepted;
+}
+
+void IngressServer::admit(tcp::socket socket) {
+  evict_session_if_needed();
+  if (sessions_.size() >= limits_.max_connections) {
+    rejections_.count("too many connections");
+    return;
+  }
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  ClientConnection connection;
+  connection.idle_since = steady_now();
+  start_session(std::move(socket), connection);
+}
+
 // Guards against a busy loop of failing accepts while no file descriptor is available.
 void IngressServer::schedule_accept_retry() {
   accept_timer_.expires_after(kAcceptRetryDelay);
   accept_timer_.async_wait([this](error_code error) {
-    if (!error) accept();
+    if (!error) accept_when_ready();
   });
 }
 
-void IngressServer::start_session(tcp::socket socket, bool served_before, Time idle_since) {
+void IngressServer::start_session(tcp::socket socket, const ClientConnection& connection) {
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   sessions_.insert(session);
-  session->start(served_before, idle_since);
+  session->start(connection);
 }
 
 bool IngressServer::is_near_capacity() const {
@@ -98,33 +125,38 @@
 void IngressServer::drain(bool enabled) {
   draining_ = enabled;
   if (!enabled) return;
-  // A copy, because sessions are erased from the set when they close.
-  for (const auto& session : std::vector<std::shared_ptr<Session>>(sessions_.begin(), sessions_.end()))
-    session->drain();
+  for (const auto& session : sessions()) session->drain();
+}
+
+bool IngressServer::has_active_connections() {
+  return has_pending_connection(acceptor_) ||
+         std::any_of(sessions_.begin(), sessions_.end(),
+                     [](const auto& session) { return session->is_active(); });
 }
 
-bool IngressServer::has_active_connections() const {
+bool IngressServer::is_responding() const {
   return std::any_of(sessions_.begin(), sessions_.end(),
-                     [](const auto& session) { return !session->is_idle(); });
+                     [](const auto& session) { return session->is_responding(); });
 }
 
-bool IngressServer::all_between_requests() const {
-  return std::all_of(sessions_.begin(), sessions_.end(),
-                     [](const auto& session) { return session->is_between_requests(); });
+void IngressServer::reject_and_close_all() {
+  AcceptResult result = AcceptResult::accepted;
+  while (result == AcceptResult::accepted || result == AcceptResult::peer_gone) result = accept_one();
+  for (const auto& session : sessions()) session->reject_and_close();
 }
 
-std::vector<IdleClient> IngressServer::idle_clients() const {
-  std::vector<IdleClient> clients;
+std::vector<ClientConnection> IngressServer::connections() const {
+  std::vector<ClientConnection> connections;
   for (const auto& session : sessions_)
-    if (session->is_idle()) clients.push_back(session->handover_state());
-  return clients;
+    if (session->can_be_handed_over()) connections.push_back(session->handover_state());
+  return connections;
 }
 
-void IngressServer::adopt(const IdleClient& client) {
+void IngressServer::adopt(const ClientConnection& connection) {
   tcp::socket socket(io_);
   error_code error;
-  socket.assign(acceptor_.local_endpoint().protocol(), client.socket, error);
-  if (!error) start_session(std::move(socket), client.served_before, client.idle_since);
+  socket.assign(acceptor_.local_endpoint().protocol(), connection.socket, error);
+  if (!error) start_session(std::move(socket), connection);
 }
 
 }  // namespace message_relay
--- a/relay/ingress_server.hpp
+++ b/relay/ingress_server.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -27,11 +28,14 @@
 };
 using ResponseCallback = std::function<void(const ClientResponse&)>;
 
-// A client connection without a request, as one process hands it over to the next.
-struct IdleClient {
-  int socket = -1;             // file descriptor
-  bool served_before = false;  // whether a complete request has been read from it
-  Time idle_since = 0;         // steady time, microseconds
+// A client connection on which no request is being answered, as one process hands it over to the next. Times
+// are steady times in microseconds.
+struct ClientConnection {
+  int socket = -1;                  // file descriptor
+  bool served_before = false;       // whether a complete request has been read from it
+  Time idle_since = 0;              // or, with received bytes, since when the request is being read
+  Time timeout_at = 0;              // when the request must be complete; 0: the usual time after idle_since
+  std::string received_bytes = {};  // the part of the next request that has been read; often empty
 };
 
 // Limits of the ingress server.
@@ -59,27 +63,35 @@
   // Starts or stops draining. While draining, a connection is closed as soon as it is between requests. New
   // connections are still accepted and their requests answered.
   void drain(bool enabled);
-  // Whether any connection is not idle.
-  bool has_active_connections() const;
-  // Whether no request is being read or answered. A rejected request whose remaining input is being discarded
-  // does not count.
-  bool all_between_requests() const;
+  // Whether any request is being read or answered or has arrived and not been read, or any connection has not
+  // been accepted.
+  bool has_active_connections();
+  // Whether any request is being answered.
+  bool is_responding() const;
+  // Ends all connections at the end of the process. Requests that have arrived are rejected, also those on
+  // connections that have not been accepted.
+  void reject_and_close_all();
 
   // Returns the file descriptor of the listening socket, for handover to another process.
   int listener_descriptor() { return acceptor_.native_handle(); }
-  // Returns the idle connections, for handover to another process.
-  std::vector<IdleClient> idle_clients() const;
+  // Returns the connections on which no request is being answered, for handover to another process.
+  std::vector<ClientConnection> connections() const;
   // Continues to serve a connection that another process accepted.
-  void adopt(const IdleClient& client);
+  void adopt(const ClientConnection& connection);
 
   boost::asio::ip::tcp::endpoint local_endpoint() const { return acceptor_.local_endpoint(); }
 
  private:
   class Session;
 
-  void accept();
+  void accept_when_ready();
   void schedule_accept_retry();
-  void start_session(boost::asio::ip::tcp::socket socket, bool served_before, Time idle_since);
+  enum class AcceptResult { accepted, peer_gone, none_waiting, failed };
+  AcceptResult accept_one();
+  void admit(boost::asio::ip::tcp::socket socket);
+  void start_session(boost::asio::ip::tcp::socket socket, const ClientConnection& connection);
+  // A copy, because sessions are erased from the set when they close.
+  std::vector<std::shared_ptr<Session>> sessions() const { return {sessions_.begin(), sessions_.end()}; }
   void evict_session_if_needed();
   bool is_near_capacity() const;
 
--- a/relay/ingress_session.cpp
+++ b/relay/ingress_session.cpp
@@ -1,12 +1,15 @@
 #include "ingress_session.hpp"
 
 #include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdio>
-#include <string>
+#include <sstream>
 #include <utility>
 
 #include "request_parser.hpp"
+#include "socket_io.hpp"
 
 namespace message_relay {
 
@@ -37,6 +40,7 @@
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusBadRequest = 400;
 constexpr unsigned kStatusMethodNotAllowed = 405;
+constexpr unsigned kStatusRequestTimeout = 408;
 constexpr unsigned kStatusPayloadTooLarge = 413;
 constexpr unsigned kStatusUnavailable = 503;
 
@@ -46,11 +50,20 @@
   return text;
 }
 
-// Whether the error means that the connection was closed or lost, not that the request cannot be parsed.
-bool is_disconnection(error_code error) {
-  return error == http::error::end_of_stream || error == http::error::partial_message ||
-         error.category() == net::error::get_system_category() ||
-         error.category() == net::error::get_misc_category();
+// The size of the reads, in bytes.
+constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
+// Bytes of a chunked request's body, with its framing, for each byte of the longest body allowed.
+constexpr std::size_t kMaxChunkedOverhead = 2;
+
+std::string format_response(unsigned status, Time retry_after, bool keep_alive) {
+  http::response<http::empty_body> response(static_cast<http::status>(status), kHttpVersion);
+  if (retry_after > 0) response.set(http::field::retry_after, format_seconds(retry_after));
+  if (status == kStatusMethodNotAllowed) response.set(http::field::allow, "POST");
+  response.keep_alive(keep_alive);
+  response.prepare_payload();
+  std::ostringstream text;
+  text << response.base();
+  return text.str();
 }
 
 }  // namespace
@@ -60,12 +73,27 @@
 
 // ---- Connection. ----
 
-void IngressServer::Session::start(bool served_before, Time idle_since) {
-  served_before_ = served_before;
-  stage_since_ = idle_since;
-  const auto elapsed = std::chrono::microseconds(steady_now() - idle_since);
-  set_timeout((served_before ? kIdleTimeout : kRequestTimeout) - elapsed);
-  wait_for_request();
+void IngressServer::Session::start(const ClientConnection& connection) {
+  served_before_ = connection.served_before;
+  stage_since_ = connection.idle_since;
+  received_ = connection.received_bytes;
+  error_code error;
+  socket_.non_blocking(true, error);
+  if (error) return close();
+  const Time longest = std::chrono::microseconds(served_before_ ? kIdleTimeout : kRequestTimeout).count();
+  set_timeout_at(connection.timeout_at > 0 ? connection.timeout_at : connection.idle_since + longest);
+  if (received_.empty()) return wait_for_request();
+  begin_received_request();
+}
+
+bool IngressServer::Session::is_active() const { return !is_idle() || has_unread_bytes(socket_); }
+
+ClientConnection IngressServer::Session::handover_state() {
+  return {.socket = socket_.native_handle(),
+          .served_before = served_before_,
+          .idle_since = stage_since_,
+          .timeout_at = timeout_at_,
+          .received_bytes = received_};
 }
 
 Time IngressServer::Session::eviction_rank() const {
@@ -79,13 +107,30 @@
 }
 
 bool IngressServer::Session::evict() {
-  if (has_unread_bytes() && stage_ != Stage::lingering) return false;
+  if (has_unread_bytes(socket_) && stage_ != Stage::lingering) return false;
+  if (stage_ == Stage::reading) write_rejection();
   close();
   return true;
 }
 
 void IngressServer::Session::drain() {
-  if (is_idle() && !has_unread_bytes()) close();
+  if (is_idle() && !has_unread_bytes(socket_)) close();
+}
+
+void IngressServer::Session::reject_and_close() {
+  if (closed_) return;
+  const bool may_have_request = can_be_handed_over();
+  // A close over unread bytes would reset the connection, and the client would lose the rejection.
+  while (may_have_request && received_.size() < kMaxLingerBytes)
+    if (read_arrived_bytes() != ReadResult::some) break;
+  if (may_have_request && !received_.empty()) write_rejection();
+  close();
+}
+
+// Tells the client that its request was not accepted, as far as the kernel takes the response at once.
+void IngressServer::Session::write_rejection() {
+  const std::string response = format_response(kStatusUnavailable, kOverloadRetryAfter, false);
+  static_cast<void>(write_available(socket_, net::buffer(response)));
 }
 
 void IngressServer::Session::close() {
@@ -99,32 +144,59 @@
   server_.sessions_.erase(shared_from_this());
 }
 
-bool IngressServer::Session::has_unread_bytes() const {
-  error_code error;
-  return socket_.available(error) > 0;
+void IngressServer::Session::set_timeout(std::chrono::microseconds timeout) {
+  set_timeout_at(steady_now() + timeout.count());
 }
 
-void IngressServer::Session::set_timeout(std::chrono::microseconds timeout) {
-  timer_.expires_after(timeout);
+void IngressServer::Session::set_timeout_at(Time when) {
+  timeout_at_ = when;
+  timer_.expires_after(std::chrono::microseconds(std::max<Time>(when - steady_now(), 0)));
   timer_.async_wait([self = shared_from_this()](error_code error) {
-    if (error || self->closed_) return;
-    if (!self->is_idle()) self->server_.rejections_.count("request timed out");
-    self->close();
+    if (!error && !self->closed_) self->on_timeout();
   });
 }
 
+// The handler that reads what has arrived may not have run yet, for example after a stall of the process. So
+// that is read first.
+void IngressServer::Session::on_timeout() {
+  if (steady_now() < timeout_at_) return;  // the timeout was set anew after this handler was queued
+  const bool has_input = has_unread_bytes(socket_);
+  if (is_idle() && has_input) return set_timeout(kRequestTimeout);
+  if (is_idle()) return close();
+  if (stage_ == Stage::reading && has_input) {
+    read_request();
+    if (closed_ || stage_ != Stage::reading) return;
+  }
+  server_.rejections_.count("request timed out");
+  if (stage_ != Stage::reading) return close();
+  reject(kStatusRequestTimeout, "request incomplete");
+}
+
 // ---- Reading. ----
 
 // The first request of a new connection is waited for even while draining, because it may already be on its
 // way.
 void IngressServer::Session::wait_for_request() {
   stage_ = Stage::idle;
+  wait_until_readable();
+}
+
+void IngressServer::Session::wait_until_readable() {
+  if (waits_for_input_) return;
+  waits_for_input_ = true;
   socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-    if (error || self->closed_) return self->close();
-    // The timeout of the first request has been running since the connection was accepted.
-    if (self->served_before_) self->set_timeout(kRequestTimeout);
-    self->stage_since_ = steady_now();
-    self->read_header();
+    self->waits_for_input_ = false;
+    if (self->closed_) return;
+    if (error) return self->close();
+    if (self->is_idle()) {
+      // The timeout of the first request has been running since the connection was accepted.
+      if (self->served_before_) self->set_timeout(kRequestTimeout);
+      self->stage_since_ = steady_now();
+      self->prepare_parser();
+      self->read_request();
+    } else if (self->stage_ == Stage::reading) {
+      self->read_request();
+    }
   });
 }
 
@@ -133,69 +205,131 @@
   stage_since_ = steady_now();
   parser_.reset();
   release_body_memory();
-  if (buffer_.size() > 0) {
+  received_.erase(0, parsed_);
+  parsed_ = 0;
+  if (!received_.empty()) {
     set_timeout(kRequestTimeout);
-    return read_header();
+    return begin_received_request();
   }
-  buffer_ = Buffer(kMaxBufferBytes);  // frees the memory of the buffer while the connection is idle
+  received_ = std::string();  // frees its memory while the connection is idle
   if (server_.draining_) return close();
   set_timeout(kIdleTimeout);
   wait_for_request();
 }
 
-void IngressServer::Session::read_header() {
+// Continues with a request of which a part has been read already. It is not parsed at once: many requests
+// that arrived together would be nested in each other.
+void IngressServer::Session::begin_received_request() {
+  prepare_parser();
+  net::post(server_.io_, [self = shared_from_this()] {
+    if (!self->closed_ && self->stage_ == Stage::reading) self->read_request();
+  });
+}
+
+void IngressServer::Session::prepare_parser() {
   stage_ = Stage::reading;
+  parsed_ = 0;
+  header_processed_ = false;
   parser_.emplace();
   parser_->header_limit(kMaxHeaderBytes);
   parser_->body_limit(kMaxBodyBytes);
-  http::async_read_header(socket_, buffer_, *parser_,
-                          [self = shared_from_this()](error_code error, std::size_t) {
-                            if (self->closed_) return;
-                            if (error) return self->handle_read_error(error);
-                            self->process_header();
-                          });
+  // Makes Beast parse header and body in separate calls, so that the header is checked first.
+  parser_->eager(false);
+}
+
+// Reads and parses until the request is complete or nothing more has arrived.
+void IngressServer::Session::read_request() {
+  while (parse() == ParseResult::incomplete) {
+    const ReadResult result = read_arrived_bytes();
+    if (result == ReadResult::disconnected) return close();
+    if (result == ReadResult::nothing) return wait_until_readable();
+  }
+}
+
+IngressServer::Session::ReadResult IngressServer::Session::read_arrived_bytes() {
+  std::array<char, kReadBytes> buffer;
+  const IoResult result = read_available(socket_, net::buffer(buffer));
+  if (result.would_block()) return ReadResult::nothing;
+  if (result.error) return ReadResult::disconnected;
+  received_.append(buffer.data(), result.bytes);
+  return ReadResult::some;
+}
+
+IngressServer::Session::ParseResult IngressServer::Session::parse() {
+  if (!header_processed_ && parse_header() == ParseResult::handled) return ParseResult::handled;
+  return header_processed_ ? parse_body() : ParseResult::incomplete;
+}
+
+// Passes the bytes that have not been parsed to the parser. Returns how many it has taken.
+std::size_t IngressServer::Session::put_in_parser(error_code& error) {
+  const auto unparsed = net::buffer(received_) + parsed_;
+  if (unparsed.size() == 0) return 0;
+  const std::size_t taken = parser_->put(unparsed, error);
+  parsed_ += taken;
+  if (error == http::error::need_more) error.clear();
+  return taken;
 }
 
-void IngressServer::Session::process_header() {
+IngressServer::Session::ParseResult IngressServer::Session::parse_header() {
+  error_code error;
+  put_in_parser(error);
+  if (error) {
+    reject_unparsable(error);
+    return ParseResult::handled;
+  }
+  if (!parser_->is_header_done()) return ParseResult::incomplete;
+  header_processed_ = true;
   const auto& header = parser_->get();
-  if (!has_unambiguous_framing(header, header.version()))
-    return reject(kStatusBadRequest, "ambiguous framing");
-  if (!reserve_body_memory()) return reject(kStatusUnavailable, "no memory for the body");
-  if (beast::iequals(header[http::field::expect], "100-continue"))
-    send_continue();
-  else
-    read_body();
+  if (!has_unambiguous_framing(header, header.version())) {
+    reject(kStatusBadRequest, "ambiguous framing");
+    return ParseResult::handled;
+  }
+  const auto length = parser_->content_length();
+  const std::uint64_t body_bytes = length.value_or(parser_->chunked() ? kMaxBodyBytes : 0);
+  if (!reserve_body_memory(static_cast<std::size_t>(body_bytes))) {
+    reject(kStatusUnavailable, "no memory for the body");
+    return ParseResult::handled;
+  }
+  const bool body_has_arrived = received_.size() > parsed_;
+  if (beast::iequals(header[http::field::expect], "100-continue") && !body_has_arrived) send_continue();
+  return ParseResult::incomplete;
 }
 
-void IngressServer::Session::send_continue() {
-  const auto response =
-      std::make_shared<http::response<http::empty_body>>(http::status::continue_, kHttpVersion);
-  http::async_write(socket_, *response, [self = shared_from_this(), response](error_code error, std::size_t) {
-    if (self->closed_) return;
-    if (error) return self->close();
-    self->read_body();
-  });
+// Before the whole body has arrived, only a chunked one is parsed. Otherwise it would be in memory twice.
+IngressServer::Session::ParseResult IngressServer::Session::parse_body() {
+  const auto length = parser_->content_length();
+  if (length && received_.size() - parsed_ < *length) return ParseResult::incomplete;
+  error_code error;
+  while (!parser_->is_done() && !error)
+    if (put_in_parser(error) == 0) break;
+  if (!error && received_.size() > kMaxHeaderBytes + (kMaxChunkedOverhead + 1) * kMaxBodyBytes)
+    error = http::error::body_limit;
+  if (error) {
+    reject_unparsable(error);
+    return ParseResult::handled;
+  }
+  if (!parser_->is_done()) return ParseResult::incomplete;
+  process_request();
+  return ParseResult::handled;
 }
 
-void IngressServer::Session::read_body() {
-  http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, std::size_t) {
-    if (self->closed_) return;
-    if (error) return self->handle_read_error(error);
-    self->process_request();
-  });
+void IngressServer::Session::reject_unparsable(error_code error) {
+  const bool too_large = error == http::error::body_limit;
+  reject(too_large ? kStatusPayloadTooLarge : kStatusBadRequest, "malformed request");
+}
+
+// The response is short, and nothing has been written to the connection that the client has not read.
+void IngressServer::Session::send_continue() {
+  const std::string response = "HTTP/1.1 100 Continue\r\n\r\n";
+  static_cast<void>(write_available(socket_, net::buffer(response)));
 }
 
 // Reserves memory for the body. Returns false if all bodies together would exceed the limit. Guards against
 // many clients that send large bodies slowly.
-bool IngressServer::Session::reserve_body_memory() {
-  std::size_t needed = 0;
-  if (const auto length = parser_->content_length())
-    needed = static_cast<std::size_t>(*length);
-  else if (parser_->chunked())
-    needed = kMaxBodyBytes;
-  if (server_.body_bytes_ + needed > server_.limits_.max_body_bytes) return false;
-  server_.body_bytes_ += needed;
-  reserved_body_bytes_ += needed;
+bool IngressServer::Session::reserve_body_memory(std::size_t bytes) {
+  if (server_.body_bytes_ + bytes > server_.limits_.max_body_bytes) return false;
+  server_.body_bytes_ += bytes;
+  reserved_body_bytes_ += bytes;
   return true;
 }
 
@@ -203,13 +337,6 @@
   server_.body_bytes_ -= std::exchange(reserved_body_bytes_, 0);
 }
 
-// Answers a request that cannot be parsed, but not an incomplete one whose client has disconnected.
-void IngressServer::Session::handle_read_error(error_code error) {
-  if (is_disconnection(error)) return close();
-  const bool too_large = error == http::error::body_limit;
-  reject(too_large ? kStatusPayloadTooLarge : kStatusBadRequest, "malformed request");
-}
-
 // ---- Responses. ----
 
 void IngressServer::Session::process_request() {
@@ -246,22 +373,29 @@
 
 void IngressServer::Session::respond(const ClientResponse& response) {
   if (closed_) return;
-  response_ = {};
-  response_.version(kHttpVersion);
-  response_.result(response.status);
-  if (response.retry_after > 0) response_.set(http::field::retry_after, format_seconds(response.retry_after));
-  if (response.status == kStatusMethodNotAllowed) response_.set(http::field::allow, "POST");
   // Near capacity, connections are closed after the response. Guards against clients that send one request
   // and keep the connection open, so that none is left for other clients.
   close_after_response_ = close_after_response_ || server_.draining_ || server_.is_near_capacity();
-  response_.keep_alive(!close_after_response_);
-  response_.prepare_payload();
+  unwritten_response_ = format_response(response.status, response.retry_after, !close_after_response_);
   set_timeout(kResponseTimeout);
-  http::async_write(socket_, response_, [self = shared_from_this()](error_code error, std::size_t) {
-    if (self->closed_) return;
-    if (error) return self->close();
-    self->finish_response();
-  });
+  write_response();
+}
+
+void IngressServer::Session::write_response() {
+  while (!unwritten_response_.empty()) {
+    const IoResult result = write_available(socket_, net::buffer(unwritten_response_));
+    if (result.would_block()) {
+      socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code error) {
+        if (self->closed_) return;
+        if (error) return self->close();
+        self->write_response();
+      });
+      return;
+    }
+    if (result.error) return close();
+    unwritten_response_.erase(0, result.bytes);
+  }
+  finish_response();
 }
 
 void IngressServer::Session::finish_response() {
@@ -275,6 +409,7 @@
 void IngressServer::Session::begin_lingering() {
   release_body_memory();
   parser_.reset();
+  received_ = std::string();
   stage_ = Stage::lingering;
   set_timeout(kLingerTimeout);
   error_code ignored;
@@ -283,14 +418,15 @@
 }
 
 void IngressServer::Session::discard_input() {
-  buffer_.clear();
-  socket_.async_read_some(buffer_.prepare(kMaxHeaderBytes),
-                          [self = shared_from_this()](error_code error, std::size_t size) {
-                            if (self->closed_) return;
-                            self->discarded_bytes_ += size;
-                            if (error || self->discarded_bytes_ > kMaxLingerBytes) return self->close();
-                            self->discard_input();
-                          });
+  const ReadResult result = read_arrived_bytes();
+  discarded_bytes_ += received_.size();
+  received_.clear();
+  if (result == ReadResult::disconnected || discarded_bytes_ > kMaxLingerBytes) return close();
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    if (self->closed_) return;
+    if (error) return self->close();
+    self->discard_input();
+  });
 }
 
 }  // namespace message_relay
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <tuple>
 #include <utility>
 
 #include "log.hpp"
@@ -45,14 +46,21 @@
     });
     return;
   }
-  // The relay did not become quiescent in time. Calls that are not yet written end as not sent, and clients
-  // whose request is still being read are disconnected.
-  if (!quiescent) collaborators_.round.run();
+  if (!quiescent) settle_remaining_work();
   hand_over();
 }
 
+// The relay did not become quiescent in time. Clients whose requests wait for an answer get it now, and calls
+// of whose requests a part at most has been written end as not sent: their endpoints cannot have started
+// them.
+void Upgrade::settle_remaining_work() {
+  collaborators_.round.run();
+  const std::size_t unsent = collaborators_.delivery.cancel_all_unsent();
+  log("handover: not quiescent in time; ended " + std::to_string(unsent) + " calls that were not written" +
+      (collaborators_.ingress.is_responding() ? "; some clients have not taken their response" : ""));
+}
+
 void Upgrade::hand_over() {
-  collaborators_.delivery.cancel_all_unsent();
   collaborators_.delivery.close_all_idle();
   HandoverChannel successor = std::move(*successor_);
   successor_.reset();
@@ -75,7 +83,7 @@
 bool Upgrade::is_quiescent() const {
   return collaborators_.events.empty() && !collaborators_.admission.has_pending() &&
          collaborators_.write_ahead.empty() && !collaborators_.compactor.running() &&
-         collaborators_.delivery.all_calls_written() && collaborators_.ingress.all_between_requests();
+         collaborators_.delivery.all_calls_written() && !collaborators_.ingress.is_responding();
 }
 
 HandoverState Upgrade::capture_state() const {
@@ -107,13 +115,15 @@
 }
 
 // During the handover both processes hold every descriptor, so each may use only half of the total. Client
-// connections beyond that are closed. Those that have served a request and have been idle longest go first:
-// on a connection that has served none, the first request may already be on its way.
-std::vector<IdleClient> Upgrade::capture_clients(std::size_t calls) const {
-  std::vector<IdleClient> clients = collaborators_.ingress.idle_clients();
-  std::sort(clients.begin(), clients.end(), [](const IdleClient& a, const IdleClient& b) {
-    return a.served_before != b.served_before ? b.served_before : a.idle_since > b.idle_since;
-  });
+// connections beyond that are closed. Those on which a request is being read are kept first, then those that
+// have served none, on which the first may already be on its way, then those that became idle last.
+std::vector<ClientConnection> Upgrade::capture_clients(std::size_t calls) const {
+  std::vector<ClientConnection> clients = collaborators_.ingress.connections();
+  const auto rank = [](const ClientConnection& client) {
+    return std::tuple(client.received_bytes.empty(), client.served_before, -client.idle_since);
+  };
+  std::sort(clients.begin(), clients.end(),
+            [&](const ClientConnection& a, const ClientConnection& b) { return rank(a) < rank(b); });
   const std::size_t descriptors = config_.client_connections + config_.endpoint_connections;
   const std::size_t capacity = saturating_subtract(descriptors / 2, calls + kReservedDescriptors);
   if (clients.size() > capacity) clients.resize(capacity);
--- a/relay/upgrade.hpp
+++ b/relay/upgrade.hpp
@@ -46,11 +46,13 @@
   void hand_over_when_quiescent();
   void hand_over();
   // Whether nothing is in progress that can't be handed over, such as calls that are being connected or
-  // written and requests that are being read.
+  // written and requests that are being answered.
   [[nodiscard]] bool is_quiescent() const;
+  // Finishes what can be finished at once, and ends the calls that have not been written.
+  void settle_remaining_work();
   [[nodiscard]] HandoverState capture_state() const;
   [[nodiscard]] EndpointList capture_endpoint_list() const;
-  [[nodiscard]] std::vector<IdleClient> capture_clients(std::size_t calls) const;
+  [[nodiscard]] std::vector<ClientConnection> capture_clients(std::size_t calls) const;
 
   const Config& config_;
   int folder_lock_;
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -109,7 +109,7 @@
   sent.destinations = {7, -8};
   sent.completed_ids = {{55, "m5"}, {66, "m6"}};
   sent.listener = handed_over.get();
-  sent.clients = {{handed_over.get(), true, 77}, {handed_over.get(), false, 78}};
+  sent.clients = {{handed_over.get(), true, 77}, {handed_over.get(), false, 78, 79, "POST /"}};
   InFlightCall call;
   call.socket = handed_over.get();
   call.endpoint = "s-1";
@@ -156,6 +156,9 @@
   ASSERT_EQ(received.clients.size(), 2U);
   EXPECT_TRUE(received.clients[0].served_before && !received.clients[1].served_before);
   EXPECT_EQ(received.clients[1].idle_since, 78);
+  EXPECT_EQ(received.clients[1].timeout_at, 79);
+  EXPECT_EQ(received.clients[1].received_bytes, "POST /");
+  EXPECT_EQ(received.clients[0].received_bytes, "");
   ASSERT_EQ(received.calls.size(), 1U);
   EXPECT_EQ(received.calls[0].endpoint, "s-1");
   EXPECT_EQ(received.calls[0].address, listed.address);
@@ -225,6 +228,28 @@
   EXPECT_EQ(final_notices, "");
 }
 
+// Guards against lost requests: clients whose request was being read were disconnected without an answer. The
+// handover does not wait for such a client either.
+TEST_F(HandoverTest, SuccessorReadsTheRestOfAPartialRequest) {
+  start();
+  const std::string whole = request("m1", kNonIdempotentClass, "a body in two parts");
+  const auto first = connect();
+  const auto later = connect();
+  first->write(whole.substr(0, whole.size() - 5));
+  later->write(request("m2", kNonIdempotentClass));
+  wait_for([&] { return later->responses.size() == 1; }, "a response");
+  later->write("POST /pay");
+  start_successor();
+  wait_for_predecessor_exit();
+  first->write(whole.substr(whole.size() - 5));
+  later->write(request("m3", kNonIdempotentClass).substr(9));
+  wait_for([&] { return first->responses.size() == 1 && later->responses.size() == 2; }, "both responses");
+  EXPECT_EQ(first->responses[0].result_int(), 202U);
+  EXPECT_EQ(later->responses[1].result_int(), 202U);
+  wait_for([&] { return endpoint.received.size() == 3; }, "one call for each message");
+  EXPECT_EQ(log_text().find("not quiescent"), std::string::npos);
+}
+
 // A call that the predecessor sent occupies a slot in the successor, too, until it ends.
 TEST_F(HandoverTest, InheritedCallOccupiesItsSlot) {
   max_calls_in_flight = 1;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -538,6 +538,40 @@
   EXPECT_EQ(endpoint.received.size(), 2U);
 }
 
+// Guards against lost requests: a client whose request was being read when the shutdown ended got no answer.
+TEST_F(RelayTest, PartialRequestAtTheEndOfTheShutdownIsRejected) {
+  endpoint.on_request(leave_unanswered);
+  start();
+  EXPECT_EQ(submit("m1", kNonIdempotentClass, "x", "24000m"), 202U);
+  wait_for([&] { return endpoint.received.size() == 1; }, "a call that keeps the process up");
+  ::kill(relay_pid, SIGTERM);
+  // Later than the beginning by so much that the request does not time out before the end.
+  const auto write_at = steady_clock::now() + milliseconds(1500);
+  wait_for([&] { return steady_clock::now() > write_at; }, "the shutdown is under way");
+  const auto new_client = connect();
+  new_client->write("POST /pay-and-order HTTP/1.1\r\n");
+  EXPECT_EQ(wait_for_exit(), 0);
+  wait_for([&] { return new_client->closed; }, "the connection is closed");
+  ASSERT_EQ(new_client->responses.size(), 1U);
+  EXPECT_EQ(new_client->responses[0].result_int(), 503U);
+}
+
+// Guards against lost requests: after a stall, the timeout of the connection ended before its request was
+// read.
+TEST_F(RelayTest, RequestThatArrivedDuringAStallIsAnswered) {
+  start();
+  const auto client = connect();
+  EXPECT_EQ(health_status(), 200U);  // the earlier connection has been accepted, too
+  ::kill(relay_pid, SIGSTOP);
+  client->write(request("m1", kNonIdempotentClass));
+  const auto resume_at = steady_clock::now() + milliseconds(2700);
+  wait_for([&] { return steady_clock::now() > resume_at; }, "the time for a first request has passed");
+  ::kill(relay_pid, SIGCONT);
+  wait_for([&] { return client->closed || !client->responses.empty(); }, "a response");
+  ASSERT_EQ(client->responses.size(), 1U);
+  EXPECT_EQ(client->responses[0].result_int(), 202U);
+}
+
 TEST_F(RelayTest, MessageOpenAtSigtermIsDeliveredAfterRestart) {
   endpoint_entries =
       endpoint_entry("s-1", endpoint.address(), "draining") + "," +
