End no limit on a returning destination before one of its calls is served

Cause: the wait for a served call turned into slow start after `Cold`, and that ended after `Cold` again, although nothing had been served. In the same way an ejection ended by time. An outage that lasted longer than twice `Cold` after the last failed call was forgotten.

Change: the wait lasts until a call is served that was sent after the last unsuccessful one, and an ejected endpoint stays ejected until it serves a probe.

Tests: SlowStartAfterOutage.TheLimitLastsUntilACallIsServed, seen to fail before (30 calls where 11 are allowed); ASeldomCalledDestinationIsCalledAgain guards the other side and passed before, too.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -150,7 +150,7 @@
   std::erase_if(limited_destinations, [this](DestinationId destination) {
     const auto& endpoints = directory.endpoints_of(destination);
     const bool is_limited = std::any_of(endpoints.begin(), endpoints.end(), [this](EndpointState* endpoint) {
-      return directory.scope_of(*endpoint).slow_start.has_recent_outage(round);
+      return directory.scope_of(*endpoint).slow_start.is_limiting(round);
     });
     if (!is_limited) round.log("destination_unlimited destination=" + std::to_string(destination));
     return !is_limited;
--- a/src/endpoint_health.cpp
+++ b/src/endpoint_health.cpp
@@ -20,6 +20,9 @@
 // Calls per second from all relays together that an endpoint is assumed to receive at least.
 constexpr double kMinEndpointRate = 3;
 
+// An ejected endpoint is probed without a token once this many state durations have passed.
+constexpr int kProbeWithoutTokenDurations = 2;
+
 // Isolated failures: resets and errors at endpoints that otherwise serve their calls.
 
 // Weight of the newest call in the moving average of the fraction of isolated failures at all endpoints.
@@ -131,29 +134,33 @@
 
 Time EndpointHealth::call_ready_at(RoundContext& round, const EndpointId& id, EndpointPacing pacing) {
   const Time now = round.now();
-  if (!is_healthy() && now >= record_.state_started_at + state_duration(round)) {
-    if (is_in_slow_start()) {
-      change_to(round, HealthState::healthy, id, HealthChangeCause::slow_start_complete);
-      record_.consecutive_failures = 0;
-      record_.failure_fraction = 0;
-    } else {
-      // This includes endpoints for which there was never a token for a probe: the messages that wait for
-      // them must not be sent all at once.
-      change_to(round, HealthState::slow_start, id, HealthChangeCause::ejection_expired);
-    }
+  if (is_in_slow_start() && now >= record_.state_started_at + state_duration(round)) {
+    change_to(round, HealthState::healthy, id, HealthChangeCause::slow_start_complete);
+    record_.consecutive_failures = 0;
+    record_.failure_fraction = 0;
   }
   if (is_healthy()) return now;
   const double rate = allowed_rate(round);
   record_.bucket.refill(now, rate, 1);
   const bool has_own_bucket = pacing == EndpointPacing::by_endpoint;
   const Time token_at = has_own_bucket ? record_.bucket.ready_at(1, std::max(rate, 1e-9)) : now;
-  const Time ready = std::min(token_at, record_.state_started_at + state_duration(round));
+  const Time ready = std::min(token_at, latest_call_time(round));
   return is_ejected() ? std::max(ready, record_.next_probe_at) : ready;
 }
 
+// Returns the time at which a call may be sent even without a token: the end of slow start, or, for an
+// ejected endpoint, a time after which an endpoint that is hardly ever called must be probed.
+Time EndpointHealth::latest_call_time(const RoundContext& round) const {
+  const Time duration = state_duration(round);
+  return record_.state_started_at + (is_ejected() ? kProbeWithoutTokenDurations : 1) * duration;
+}
+
 void EndpointHealth::on_call_sent(RoundContext& round, const RetryBackoff& backoff) {
   if (!is_healthy()) record_.bucket.take();
-  if (is_ejected()) record_.next_probe_at = next_probe_time(round, backoff);
+  if (!is_ejected()) return;
+  const bool is_late_probe = round.now() >= latest_call_time(round);
+  record_.next_probe_at =
+      is_late_probe ? round.now() + state_duration(round) : next_probe_time(round, backoff);
 }
 
 void EndpointHealth::change_to(RoundContext& round, HealthState state, const EndpointId& id,
--- a/src/endpoint_health.hpp
+++ b/src/endpoint_health.hpp
@@ -29,9 +29,9 @@
 /// The health of one endpoint.
 ///
 /// Invariant: the calls to a healthy endpoint are not limited here. An ejected endpoint gets single probe
-/// requests. An endpoint in slow start gets calls at a rate that grows with its capacity. Both take their
-/// tokens from one bucket. Without failures, both states end after a time: an ejected endpoint enters slow
-/// start, and one in slow start becomes healthy.
+/// requests until it serves one of them, however long that takes. An endpoint in slow start gets calls at a
+/// rate that grows with its capacity, and becomes healthy after a time without failures. Both take their
+/// tokens from one bucket.
 class EndpointHealth {
  public:
   bool is_healthy() const { return record_.state == HealthState::healthy; }
@@ -39,7 +39,7 @@
   bool is_in_slow_start() const { return record_.state == HealthState::slow_start; }
   /// Whether the endpoint is ejected or in slow start and has not served a call since it last failed.
   bool is_awaiting_success() const { return !is_healthy() && record_.consecutive_failures > 0; }
-  /// Whether the endpoint is ejected or in slow start and that state has not expired.
+  /// Whether the endpoint is ejected or in slow start and entered that state, or failed, a short time ago.
   bool has_recent_outage(const RoundContext& round) const;
   CallKind kind_of_next_call() const;
   const EndpointHealthRecord& record() const { return record_; }
@@ -59,7 +59,7 @@
   void enter_slow_start(RoundContext& round, const EndpointId& id, HealthChangeCause cause);
   /// Takes over the state of another endpoint of the destination.
   void copy_state_from(RoundContext& round, const EndpointHealth& sibling);
-  /// Returns when the next call may be sent. Ends an ejection or a slow start that has expired.
+  /// Returns when the next call may be sent. Ends a slow start that has expired.
   Time call_ready_at(RoundContext& round, const EndpointId& id, EndpointPacing pacing);
   void on_call_sent(RoundContext& round, const RetryBackoff& backoff);
 
@@ -68,6 +68,7 @@
  private:
   void change_to(RoundContext& round, HealthState state, const EndpointId& id, HealthChangeCause cause);
   double allowed_rate(const RoundContext& round) const;
+  Time latest_call_time(const RoundContext& round) const;
 
   EndpointHealthRecord record_;
 };
--- a/src/endpoint_selection.cpp
+++ b/src/endpoint_selection.cpp
@@ -110,8 +110,9 @@
   const Time ready = std::max({health_ready, limiter_ready, pacer_ready, slow_start_ready});
   if (ready > now) return ready;
   // A message that must not be repeated is not sent as a probe that may be lost, unless its objective has
-  // passed.
-  if (endpoint.health.is_ejected() && message_class.idempotency == Idempotency::none &&
+  // passed or the last failure is so long ago that it says little.
+  if (endpoint.health.is_ejected() && endpoint.health.has_recent_outage(round) &&
+      message_class.idempotency == Idempotency::none &&
       endpoint.health.record().last_failure_may_have_executed && now < message.full_value_until)
     return message.full_value_until;
   return static_cast<int>(endpoint.calls.size()) < max_calls_in_flight(endpoint) ? now : kNever;
@@ -190,7 +191,7 @@
   if (endpoint.health.is_healthy() && message.attempts_made == 0) endpoint.demand.add_event(round.now());
   endpoint.use_gap.on_call_begun(round.now());
   scope.limiter.take_token();
-  scope.slow_start.take_token();
+  scope.slow_start.take_token(round);
   low_rate_pacer.take_token(round, scope.limiter);
   endpoint.health.on_call_sent(round, scope.backoff);
   if (outlier_detector.overdue_call_count(endpoint) > 0) close_idle_connections(endpoint);
--- a/src/health_log.hpp
+++ b/src/health_log.hpp
@@ -19,7 +19,6 @@
   all_rejected,
   sibling_failures,
   // Causes of a change to slow start or to health.
-  ejection_expired,
   probe_succeeded,
   late_answer,
   operator_resumed,
@@ -37,9 +36,9 @@
                               HealthChangeCause cause) {
   // Indexed by HealthState and by HealthChangeCause.
   static constexpr std::array kEvents = {"endpoint_healthy", "endpoint_ejected", "endpoint_slow_start"};
-  static constexpr std::array kCauses = {
-      "connect_failed",   "errors",          "no_answer",   "all_rejected",     "sibling_failures",
-      "ejection_expired", "probe_succeeded", "late_answer", "operator_resumed", "slow_start_complete"};
+  static constexpr std::array kCauses = {"connect_failed", "errors",           "no_answer",
+                                         "all_rejected",   "sibling_failures", "probe_succeeded",
+                                         "late_answer",    "operator_resumed", "slow_start_complete"};
   round.log(kEvents[static_cast<std::size_t>(state)] + std::string(" endpoint=") + id +
             " cause=" + kCauses[static_cast<std::size_t>(cause)]);
 }
--- a/src/learned_records.hpp
+++ b/src/learned_records.hpp
@@ -117,6 +117,7 @@
   double unsuccessful_fraction = 0;          // of the recent calls
   double demand = 0;                         // calls per second of this relay before the outage
   TokenBucket bucket{0};
+  Time unlimited_until = -kNever;  // an outage that began with the only failure can't be over; not stored
 
   template <class Visitor>
   void visit_learned_fields(Visitor&& visit) {
--- a/src/slow_start_pacer.hpp
+++ b/src/slow_start_pacer.hpp
@@ -2,13 +2,12 @@
 //
 // The platform counts a relay as notified of an outage as soon as one of its calls failed or was rejected
 // during it, and from then on the relay's calls count towards the budget of the destination in slow start.
-// Too few failures to eject an endpoint, at a relay that calls a destination twice in a minute, are
-// therefore enough to limit its calls.
+// A single unsuccessful call, which ejects no endpoint, is therefore enough to limit its calls.
 //
-// Invariant: from an unsuccessful call until a later one is served, calls take tokens at this relay's share
-// of the rate that the destination withstands right after an outage. If there may have been an outage
-// meanwhile, the rate then grows with the capacity of a destination in slow start. No call is limited before
-// the first unsuccessful one.
+// Invariant: from an unsuccessful call until a later one is served, however long that takes, calls take
+// tokens at this relay's share of the rate that the destination withstands right after an outage. If there
+// may have been an outage meanwhile, the rate then grows with the capacity of a destination in slow start. No
+// call is limited before the first unsuccessful one.
 #pragma once
 
 #include "learned_records.hpp"
@@ -19,7 +18,8 @@
 /// A call that failed or was rejected.
 struct UnsuccessfulCall {
   Time sent_at = 0;
-  bool is_weak_evidence = false;  ///< available destinations answer some calls like this, too
+  /// Available destinations answer some calls like this, too. The first such call in a row leaves one token.
+  bool is_weak_evidence = false;
   /// The end of a Retry-After. No tokens accumulate before it: relays that were told the same one would
   /// otherwise all resume at once.
   Time blocked_until = 0;
@@ -42,11 +42,15 @@
   /// Returns the time at which a token for the next call is available. Begins or ends slow start when it is
   /// due. `rate_limit` is the destination's limit in calls per second over all relays; 0: unknown.
   Time token_ready_at(const RoundContext& round, double rate_limit);
-  void take_token();
+  void take_token(const RoundContext& round);
 
   /// Whether calls are limited.
   bool is_active() const { return record_.phase != SlowStartPhase::inactive; }
-  /// Whether calls are limited and the limit has not expired.
+  /// Whether calls are limited and the next one has to wait for a token.
+  bool is_out_of_tokens() const { return is_active() && record_.bucket.tokens() < 1; }
+  /// Whether calls are limited now: slow start may have ended since the last call.
+  bool is_limiting(const RoundContext& round) const;
+  /// Whether the state must be kept after the destination has left the list.
   bool has_recent_outage(const RoundContext& round) const;
 
   SlowStartRecord& record() { return record_; }  ///< For the learned state only.
@@ -62,6 +66,8 @@
   Allowance allowance(const RoundContext& round, double rate_limit) const;
   Time estimated_recovery(const RoundContext& round, double rate_limit) const;
   double initial_tokens(RoundContext& round, double rate_limit) const;
+  void set_tokens(RoundContext& round, const UnsuccessfulCall& call, const KnownLoad& load,
+                  Time blocked_until);
 
   SlowStartRecord record_;
 };
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,6 +1,8 @@
 // The guarantees of the dispatcher: final answers by the deadline, no second execution, no calls to draining
 // endpoints, slow start, Retry-After and the order of messages. The events of each test violate its guarantee
 // if the code that guards it is removed.
+#include <cmath>
+
 #include "dispatcher_harness.hpp"
 
 namespace dispatch::testing {
@@ -186,6 +188,84 @@
 TEST(SlowStart, LimitsCallsAfterErrors) { expect_slow_start_after(Outcome::error); }
 TEST(SlowStart, LimitsCallsAfterAllCallsWereRejected) { expect_slow_start_after(Outcome::rejected); }
 
+// The settings of a destination in slow start, and a relay that has called it once a second.
+class SlowStartAfterOutage : public ::testing::Test {
+ protected:
+  static Settings settings(int relay_count = 1) {
+    auto settings = test_settings();
+    settings.overload_multiple = 2;
+    settings.slow_start_capacity_fraction = 0.2;
+    settings.slow_start_duration = 8 * kSecond;
+    settings.relay_count = relay_count;
+    return settings;
+  }
+  static std::optional<Outcome> serve(const SentAttempt&) { return Outcome::succeeded; }
+  static constexpr double kRate = 3;  // calls per second that the destination takes when it is not cold
+  // The calls within 2 s that the destination withstands so long after its return: N plus 3 times the root of
+  // N plus 3, where N is twice what it can serve.
+  static double budget(Time since_return) {
+    const double elapsed_fraction = static_cast<double>(since_return) / (8.0 * kSecond);
+    const double expected = 2 * (0.2 + 0.8 * elapsed_fraction) * kRate * 2;
+    return expected + 3 * std::sqrt(expected) + 3;
+  }
+  static void call_regularly(SimulatedRelay& relay) {
+    relay.set_endpoint_list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
+    relay.run_traffic(6 * kSecond, 1, kIdempotent, 1, serve);
+    relay.run_traffic(1 * kSecond, 0, kIdempotent, 1, serve);
+  }
+  // Many messages at once, at a destination that has just returned.
+  static void expect_limited(SimulatedRelay& relay) {
+    const Time returned_at = relay.now;
+    for (int i = 0; i < 30; i++) relay.submit(kIdempotent);
+    relay.run_traffic(8 * kSecond, 0, kIdempotent, 1, serve);
+    EXPECT_GE(relay.sends_between(returned_at, relay.now), 10);
+    for (const auto& attempt : relay.sent) {
+      if (attempt.sent_at < returned_at) continue;
+      const Time window_start = std::max(returned_at, attempt.sent_at - 2 * kSecond);
+      EXPECT_LE(relay.sends_between(window_start, attempt.sent_at + 1), budget(attempt.sent_at - returned_at))
+          << (attempt.sent_at - returned_at) / kMillisecond;
+    }
+  }
+};
+
+// Guards against a limit that ended by time although no call had been served since the outage began.
+TEST_F(SlowStartAfterOutage, TheLimitLastsUntilACallIsServed) {
+  for (const Outcome symptom : {Outcome::timeout, Outcome::connect_failed}) {
+    SimulatedRelay relay(settings());
+    call_regularly(relay);
+    const auto id = relay.submit(kNonIdempotent);
+    relay.end_attempt(id, symptom);
+    if (symptom == Outcome::connect_failed) relay.run_round({event::ClientCancelled{id}});
+    relay.run_until(relay.now + 20 * kSecond);
+    expect_limited(relay);
+  }
+}
+
+// Guards against limits that last for minutes where a relay among many calls a destination seldom.
+TEST_F(SlowStartAfterOutage, ASeldomCalledDestinationIsCalledAgain) {
+  auto many_relays = settings(1300);
+  many_relays.weight_kind = WeightKind::approximate;
+  for (const Outcome symptom : {Outcome::connect_failed, Outcome::error, Outcome::rejected}) {
+    int late = 0;
+    for (std::uint64_t seed = 1; seed <= 20; seed++) {
+      SimulatedRelay relay(many_relays, seed);
+      relay.set_endpoint_list({{.id = "a", .destination = 1, .weight = kRate}});
+      relay.end_attempt(relay.submit(kNonIdempotent), Outcome::succeeded);
+      relay.run_until(relay.now + 120 * kSecond);
+      const auto failed = relay.submit(kNonIdempotent);
+      relay.end_attempt(failed, symptom);
+      relay.run_round({event::ClientCancelled{failed}});
+      relay.run_until(relay.now + 120 * kSecond);
+      const Time arrived_at = relay.now;
+      const auto next = relay.submit(kNonIdempotent);
+      relay.run_until(relay.now + 2 * kSecond);
+      late += relay.sends_between(arrived_at, relay.now) == 0 ? 1 : 0;
+      EXPECT_LE(relay.send_count(next), 1);
+    }
+    EXPECT_LE(late, 2) << static_cast<int>(symptom);
+  }
+}
+
 TEST(RetryAfter, HoldsBackAllSendsToTheDestination) {
   SimulatedRelay relay;
   relay.set_endpoint_list(
