Limit the calls to a destination from a single failed or rejected call on

Cause: a single error, reset or short rejection counted as weak evidence and limited nothing before the second in a row.

Change: the first one limits, too. The rate limiter's own bucket is filled only if the pacer makes the next call wait.

Tests: SlowStartAfterOutage.ASingleFailedCallLimitsTheNextOnes, seen to fail before (30 calls where 11 are allowed).

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -266,7 +266,7 @@
   scope.backoff.on_failure(round);
   scope.limiter.on_rejected(round, rejection_statistics, scope.backoff, kind, endpoint.info.id);
   // Slow start spreads the next calls of the relays already.
-  if (scope.slow_start.is_active()) scope.limiter.fill_bucket(round);
+  if (scope.slow_start.is_out_of_tokens()) scope.limiter.fill_bucket(round);
   low_rate_pacer.on_rejected(round, scope.limiter, kind);
   outlier_detector.on_rejected(endpoint);
 }
--- a/src/slow_start_pacer.cpp
+++ b/src/slow_start_pacer.cpp
@@ -78,8 +78,6 @@
   // The call was lost in the outage that this slow start follows.
   if (is_in_slow_start && call.sent_at < record_.phase_started_at) return false;
   const bool was_active = is_active();
-  if (!was_active && call.is_weak_evidence && record_.consecutive_unsuccessful < kWeakEvidenceCalls)
-    return false;
   if (!was_active) {
     record_.demand = load.demand;
     record_.interrupted_slow_start_at = -kNever;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -241,6 +241,19 @@
   }
 }
 
+// Guards against a single error or short rejection, after which a relay counts as notified, limiting nothing.
+TEST_F(SlowStartAfterOutage, ASingleFailedCallLimitsTheNextOnes) {
+  for (const Outcome symptom : {Outcome::error, Outcome::reset, Outcome::rejected}) {
+    SimulatedRelay relay(settings());
+    call_regularly(relay);
+    const auto id = relay.submit(kNonIdempotent);
+    relay.end_attempt(id, symptom);
+    if (symptom == Outcome::rejected) relay.run_round({event::ClientCancelled{id}});
+    relay.run_until(relay.now + 6 * kSecond);
+    expect_limited(relay);
+  }
+}
+
 // Guards against limits that last for minutes where a relay among many calls a destination seldom.
 TEST_F(SlowStartAfterOutage, ASeldomCalledDestinationIsCalledAgain) {
   auto many_relays = settings(1300);
