Keep the limit on a destination that the list does not name, and its demand

Cause: the limit that a process recovered was dropped if no list named the destination by then, and so was that of a destination whose endpoints left the list for a while.

Change: a limited destination without endpoints stays limited, and its limit is applied once an endpoint is listed. The demand that a limit is computed from is observed for at least 5 s, so that messages that come together are not taken for a rate.

Tests: SlowStartAfterOutage.TheLimitIsRestoredOnceTheDestinationIsListed and TheLimitSurvivesTheAbsenceOfTheDestination, both seen to fail before; JournalTest.LimitedDestinationsSurviveRestartAndCompaction now has demands, too.

--- a/include/dispatch/dispatcher.hpp
+++ b/include/dispatch/dispatcher.hpp
@@ -11,7 +11,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -48,7 +47,7 @@
 
   /// The destinations to which calls are limited because they may be returning from an outage. A destination
   /// may stay for a second after the limit has ended.
-  const std::set<DestinationId>& limited_destinations() const;
+  const DestinationLimits& limited_destinations() const;
 
   /// The number of endpoints, destinations, suspensions, messages, order keys, quiet periods of order keys
   /// and calls that the dispatcher stores. A gauge of its memory.
--- a/include/dispatch/events.hpp
+++ b/include/dispatch/events.hpp
@@ -84,6 +84,7 @@
 /// the destination was in Dispatcher::limited_destinations(). Must come after the endpoint list.
 struct DestinationLimitRecovered {
   DestinationId destination = 0;
+  DestinationLimit limit = {};
 };
 /// Restores what Dispatcher::learned_state() returned in an earlier process with the same clock. Must come
 /// after the endpoint list. Lines that cannot be parsed are ignored.
--- a/include/dispatch/types.hpp
+++ b/include/dispatch/types.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace dispatch {
@@ -15,4 +16,14 @@
 /// Identifies the destination that a message is addressed to. A destination has one or more endpoints.
 using DestinationId = std::int64_t;
 
+/// What a relay remembers of a destination to which it limits its calls, as it may be returning from an
+/// outage.
+struct DestinationLimit {
+  double demand = 0;  ///< messages per second of this relay when the limit began; 0: unknown
+
+  bool operator==(const DestinationLimit&) const = default;
+};
+/// The destinations to which a relay limits its calls.
+using DestinationLimits = std::map<DestinationId, DestinationLimit>;
+
 }  // namespace dispatch
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -44,6 +44,11 @@
   return (size + kDiskBlockBytes - 1) / kDiskBlockBytes * kDiskBlockBytes;
 }
 
+std::string encode_limit(std::int64_t destination, const dispatch::DestinationLimit& limit) {
+  return encode(DestinationLimitRecord{destination, DestinationLimitState::limited}) +
+         encode(DestinationDemandRecord{destination, limit.demand});
+}
+
 }  // namespace
 
 Journal::Journal(const std::string& folder, std::uint64_t limit_bytes)
@@ -121,11 +126,16 @@
 
 void Journal::apply(const DestinationLimitRecord& record) {
   if (record.state == DestinationLimitState::limited)
-    limited_destinations_.insert(record.destination);
+    limited_destinations_.try_emplace(record.destination);
   else
     limited_destinations_.erase(record.destination);
 }
 
+void Journal::apply(const DestinationDemandRecord& record) {
+  const auto limited = limited_destinations_.find(record.destination);
+  if (limited != limited_destinations_.end()) limited->second.demand = record.demand;
+}
+
 // ---- In-memory state ----
 
 void Journal::set_final_answer(JournaledMessage& message, const FinalAnswer& final_answer) {
@@ -203,16 +213,15 @@
   if (set_suspension(endpoint, state)) queue_frames(kNoMessage, encode(SuspensionRecord{endpoint, state}));
 }
 
-void Journal::record_limited_destinations(const std::set<std::int64_t>& destinations) {
-  std::vector<std::int64_t> changed;
-  std::set_symmetric_difference(destinations.begin(), destinations.end(), limited_destinations_.begin(),
-                                limited_destinations_.end(), std::back_inserter(changed));
-  for (const std::int64_t destination : changed) {
-    const auto state = destinations.contains(destination) ? DestinationLimitState::limited
-                                                          : DestinationLimitState::unlimited;
-    queue_frames(kNoMessage, encode(DestinationLimitRecord{destination, state}));
-  }
-  if (!changed.empty()) limited_destinations_ = destinations;
+void Journal::record_limited_destinations(const dispatch::DestinationLimits& destinations) {
+  if (destinations == limited_destinations_) return;
+  for (const auto& [destination, limit] : limited_destinations_)
+    if (!destinations.contains(destination))
+      queue_frames(kNoMessage, encode(DestinationLimitRecord{destination, DestinationLimitState::unlimited}));
+  for (const auto& [destination, limit] : destinations)
+    if (!limited_destinations_.contains(destination))
+      queue_frames(kNoMessage, encode_limit(destination, limit));
+  limited_destinations_ = destinations;
 }
 
 bool Journal::commit() {
@@ -261,8 +270,7 @@
   std::string head(kJournalHeader);
   for (const auto& endpoint : suspended_endpoints_)
     head += encode(SuspensionRecord{endpoint, SuspensionState::suspended});
-  for (const std::int64_t destination : limited_destinations_)
-    head += encode(DestinationLimitRecord{destination, DestinationLimitState::limited});
+  for (const auto& [destination, limit] : limited_destinations_) head += encode_limit(destination, limit);
   compacted_file_.append(head);
 }
 
--- a/relay/journal.hpp
+++ b/relay/journal.hpp
@@ -36,7 +36,7 @@
   // Ids of the endpoints that operators have suspended.
   const std::set<std::string>& suspended_endpoints() const { return suspended_endpoints_; }
   // The destinations to which the relay limited its calls, as they may be returning from an outage.
-  const std::set<std::int64_t>& limited_destinations() const { return limited_destinations_; }
+  const dispatch::DestinationLimits& limited_destinations() const { return limited_destinations_; }
   // Number of bytes that were truncated when the journal was opened.
   std::uint64_t dropped_bytes() const { return dropped_bytes_; }
 
@@ -58,9 +58,9 @@
   // Does nothing if the endpoint is already in this state.
   void record_suspension(const std::string& endpoint, SuspensionState state);
 
-  // Adds a record for each destination that is not in both this set and limited_destinations(). The step need
-  // not wait for commit().
-  void record_limited_destinations(const std::set<std::int64_t>& destinations);
+  // Adds records for each destination that is not in both `destinations` and limited_destinations(). The step
+  // need not wait for commit().
+  void record_limited_destinations(const dispatch::DestinationLimits& destinations);
 
   // Writes the records added since the last successful call. Returns false if they cannot be written now or
   // would exceed the size limit; those not written are kept for the next call.
@@ -91,6 +91,7 @@
   void apply(const CompletedRecord& record);
   void apply(const SuspensionRecord& record);
   void apply(const DestinationLimitRecord& record);
+  void apply(const DestinationDemandRecord& record);
   void apply(const UnknownRecord&) {}
 
   // Adds frames for the next commit(), also for the compacted file if it already has this message's records.
@@ -119,7 +120,7 @@
   Messages messages_;
   std::size_t final_answer_count_ = 0;  // messages that have a final answer
   std::set<std::string> suspended_endpoints_;
-  std::set<std::int64_t> limited_destinations_;
+  dispatch::DestinationLimits limited_destinations_;
   // While recover() runs: the keys of a message whose own record, the next one, has not been read yet.
   std::optional<MessageKeysRecord> preceding_keys_;
 };
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -21,6 +21,7 @@
   completed = 'X',
   suspension = 'H',
   destination_limit = 'L',
+  destination_demand = 'D',
 };
 
 constexpr std::size_t kChecksumOffset = 4;  // in the frame header, in bytes
@@ -124,6 +125,13 @@
   return record;
 }
 
+DestinationDemandRecord decode_destination_demand(BinaryReader& reader) {
+  DestinationDemandRecord record;
+  record.destination = reader.number<std::int64_t>();
+  record.demand = reader.number<double>();
+  return record;
+}
+
 // Throws std::runtime_error if the payload is too short.
 JournalRecord decode_fields(BinaryReader& reader) {
   const auto kind = reader.number<RecordKind>();
@@ -145,6 +153,8 @@
       return decode_suspension(reader);
     case RecordKind::destination_limit:
       return decode_destination_limit(reader);
+    case RecordKind::destination_demand:
+      return decode_destination_demand(reader);
   }
   return UnknownRecord{};
 }
@@ -194,6 +204,13 @@
                    .payload());
 }
 
+std::string encode(const DestinationDemandRecord& record) {
+  return frame(begin_record(RecordKind::destination_demand, kNoMessage)
+                   .number(record.destination)
+                   .number(record.demand)
+                   .payload());
+}
+
 std::string encode_all(MessageId id, const JournaledMessage& journaled) {
   std::string frames = encode_message(id, journaled.message);
   for (std::size_t i = 0; i < journaled.attempts.size(); i++) {
--- a/relay/journal_records.hpp
+++ b/relay/journal_records.hpp
@@ -78,12 +78,18 @@
   std::int64_t destination = 0;
   DestinationLimitState state = DestinationLimitState::unlimited;
 };
+// The demand at a destination when the relay began to limit its calls. It follows the record of that limit,
+// in a record of its own, because earlier builds read the record of the limit in its original format.
+struct DestinationDemandRecord {
+  std::int64_t destination = 0;
+  double demand = 0;  // messages per second of this relay
+};
 // A record of a kind that this build does not know. Readers skip it.
 struct UnknownRecord {};
 
-using JournalRecord =
-    std::variant<MessageRecord, MessageKeysRecord, AttemptRecord, OutcomeRecord, FinalAnswerRecord,
-                 CompletedRecord, SuspensionRecord, DestinationLimitRecord, UnknownRecord>;
+using JournalRecord = std::variant<MessageRecord, MessageKeysRecord, AttemptRecord, OutcomeRecord,
+                                   FinalAnswerRecord, CompletedRecord, SuspensionRecord,
+                                   DestinationLimitRecord, DestinationDemandRecord, UnknownRecord>;
 
 // Each returns the frame of one record. encode_message() also returns the frame of the keys, in front of the
 // message's own, if the message has any.
@@ -94,6 +100,7 @@
 [[nodiscard]] std::string encode(const CompletedRecord& record);
 [[nodiscard]] std::string encode(const SuspensionRecord& record);
 [[nodiscard]] std::string encode(const DestinationLimitRecord& record);
+[[nodiscard]] std::string encode(const DestinationDemandRecord& record);
 
 // The frames of all records of a message that is not completed.
 [[nodiscard]] std::string encode_all(MessageId id, const JournaledMessage& journaled);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -147,8 +147,8 @@
         " bytes after the last intact record");
   for (const auto& endpoint : journal_.suspended_endpoints())
     events_.add_without_round(event::EndpointSuspension{endpoint, true});
-  for (const std::int64_t destination : journal_.limited_destinations())
-    events_.add_without_round(event::DestinationLimitRecovered{destination});
+  for (const auto& [destination, limit] : journal_.limited_destinations())
+    events_.add_without_round(event::DestinationLimitRecovered{destination, limit});
   registry_.index_journal();
   const RecoveredMessages recovered = recover_messages(journal_, config_.setting_names, calls, events_);
   for (const MessageId id : recovered.awaiting_notice) {
--- a/scale/fleet.cpp
+++ b/scale/fleet.cpp
@@ -234,8 +234,8 @@
       std::make_unique<dispatch::Dispatcher>(dispatcher_settings(settings_, relay), random_.bits()));
   running_relays_.push_back(relay);
   enqueue(relay, dispatch::event::EndpointListSnapshot{.endpoints = endpoints_.entries(destinations_)});
-  for (const dispatch::DestinationId destination : started.limited_destinations())
-    enqueue(relay, dispatch::event::DestinationLimitRecovered{destination});
+  for (const auto& [destination, limit] : started.limited_destinations())
+    enqueue(relay, dispatch::event::DestinationLimitRecovered{destination, limit});
   for (auto& message : started.recovered_messages(now_)) enqueue(relay, std::move(message));
 }
 
--- a/scale/simulation/simulated_relay.hpp
+++ b/scale/simulation/simulated_relay.hpp
@@ -70,7 +70,7 @@
   [[nodiscard]] std::vector<dispatch::Action> run_round(Time now);
 
   [[nodiscard]] Journal& journal() { return journal_; }
-  [[nodiscard]] const std::set<dispatch::DestinationId>& limited_destinations() const {
+  [[nodiscard]] const dispatch::DestinationLimits& limited_destinations() const {
     return limited_destinations_;
   }
   // Returns the events by which a restarted relay passes the messages in its journal to its new dispatcher.
@@ -84,7 +84,7 @@
   bool is_round_scheduled_ = false;
   Time last_round_at_ = 0;
   Journal journal_;
-  std::set<dispatch::DestinationId> limited_destinations_;  // when the relay was last killed; journaled, too
+  dispatch::DestinationLimits limited_destinations_;  // when the relay was last killed; journaled, too
 };
 
 }  // namespace scale_tool::simulation
--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -13,6 +13,8 @@
 
 /// One hour, in microseconds. A timer that expires early is harmless.
 constexpr Time kMaxTimerDuration = 3'600'000'000;
+/// The shortest observation, in seconds, of the demand from which a limit is computed.
+constexpr double kMinDemandObservation = 5;
 /// The time between two reviews of the limited destinations, in microseconds.
 constexpr Time kLimitReviewInterval = 1'000'000;
 
@@ -124,31 +126,51 @@
   remove_if_done(it);
 }
 
-// A restart ends no outage: what the earlier process observed limits the calls of this one.
+// A restart ends no outage: what the earlier process observed limits the calls of this one. The destination
+// may be missing from the list that is known so far.
 void Dispatcher::State::on(const event::DestinationLimitRecovered& recovered) {
-  for (EndpointState* const endpoint : directory.endpoints_of(recovered.destination)) {
-    RateLimitScope& scope = directory.scope_of(*endpoint);
-    if (scope.slow_start.is_active()) continue;
-    // The demand before the restart is unknown; an equal share of the limit is assumed.
-    const double limit = scope.limiter.rate_limit();
-    scope.slow_start.on_unsuccessful(round, {.sent_at = round.now()},
-                                     {.demand = limit / settings.relay_count, .rate_limit = limit});
-    on_destination_limited(recovered.destination, "restart");
-  }
+  limited_destinations[recovered.destination] = recovered.limit;
+  log_destination_limited(recovered.destination, "restart");
+  for (EndpointState* const endpoint : directory.endpoints_of(recovered.destination))
+    restore_limit(*endpoint, recovered.limit);
+}
+
+// The demand that an earlier process did not know is assumed to be an equal share of the limit.
+void Dispatcher::State::restore_limit(EndpointState& endpoint, const DestinationLimit& limit) {
+  RateLimitScope& scope = directory.scope_of(endpoint);
+  const double rate_limit = scope.limiter.rate_limit();
+  double demand = limit.demand > 0 ? limit.demand : rate_limit / settings.relay_count;
+  if (endpoint.is_independent) demand /= static_cast<double>(directory.siblings_of(endpoint).size());
+  RateEstimator& estimator = endpoint.is_independent ? endpoint.demand : scope.arrivals;
+  if (estimator.rate(round.now()) < demand) estimator.restore(round.now(), demand);
+  if (scope.slow_start.is_active()) return;
+  // Any call that is served from now on was sent later than the unsuccessful one.
+  scope.slow_start.on_unsuccessful(round, {.sent_at = 0}, {.demand = demand, .rate_limit = rate_limit});
 }
 
 void Dispatcher::State::on_destination_limited(DestinationId destination, const char* cause) {
-  if (!limited_destinations.insert(destination).second) return;
+  const auto found = directory.destinations().find(destination);
+  DestinationLimit limit;
+  if (found != directory.destinations().end())
+    limit.demand = found->second.scope.arrivals.rate(round.now(), kMinDemandObservation);
+  if (limited_destinations.try_emplace(destination, limit).second)
+    log_destination_limited(destination, cause);
+}
+
+void Dispatcher::State::log_destination_limited(DestinationId destination, const char* cause) {
   round.log("destination_limited destination=" + std::to_string(destination) + " cause=" + cause);
 }
 
 // Reviews the limited destinations at intervals, because a limit may end without an event, and because at a
-// destination that fails now and then it begins and ends many times a second.
+// destination that fails now and then it begins and ends many times a second. A destination that is not
+// listed stays limited: it may be listed again before it has served a call.
 void Dispatcher::State::review_limited_destinations() {
   if (limited_destinations.empty() || round.now() < next_limit_review_at) return;
   next_limit_review_at = round.now() + kLimitReviewInterval;
-  std::erase_if(limited_destinations, [this](DestinationId destination) {
+  std::erase_if(limited_destinations, [this](const auto& entry) {
+    const DestinationId destination = entry.first;
     const auto& endpoints = directory.endpoints_of(destination);
+    if (endpoints.empty()) return false;
     const bool is_limited = std::any_of(endpoints.begin(), endpoints.end(), [this](EndpointState* endpoint) {
       return directory.scope_of(*endpoint).slow_start.is_limiting(round);
     });
@@ -163,7 +185,13 @@
   if (!is_new) return;
   initialize_estimates(endpoint);
   outlier_detector.on_added(endpoint);
+  const auto& siblings = directory.siblings_of(endpoint);
+  const bool all_limited = std::all_of(siblings.begin(), siblings.end(), [this](EndpointState* sibling) {
+    return directory.scope_of(*sibling).slow_start.is_active();
+  });
   directory.add_sibling(endpoint);
+  const auto limit = limited_destinations.find(info.destination);
+  if (all_limited && limit != limited_destinations.end()) restore_limit(endpoint, limit->second);
 }
 
 // A recovered call counts as in flight for its endpoint and its message, and its outcome counts for the
@@ -227,9 +255,9 @@
 // The calls to all endpoints of a destination count towards its budget in slow start.
 void Dispatcher::State::update_slow_start(EndpointState& endpoint, Time sent_at, Outcome outcome) {
   RateLimitScope& scope = directory.scope_of(endpoint);
-  const KnownLoad load{
-      .demand = (endpoint.is_independent ? endpoint.demand : scope.arrivals).rate(round.now()),
-      .rate_limit = scope.limiter.rate_limit()};
+  RateEstimator& demand = endpoint.is_independent ? endpoint.demand : scope.arrivals;
+  const KnownLoad load{.demand = demand.rate(round.now(), kMinDemandObservation),
+                       .rate_limit = scope.limiter.rate_limit()};
   if (outcome == Outcome::succeeded) {
     if (scope.slow_start.on_served(round, sent_at, load))
       round.log("destination_slow_start destination=" + std::to_string(endpoint.info.destination) +
@@ -397,9 +425,7 @@
   }));
 }
 
-const std::set<DestinationId>& Dispatcher::limited_destinations() const {
-  return state_->limited_destinations;
-}
+const DestinationLimits& Dispatcher::limited_destinations() const { return state_->limited_destinations; }
 
 std::size_t Dispatcher::tracked_object_count() const {
   State& state = *state_;
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -64,6 +64,8 @@
   void on(const event::DestinationLimitRecovered& recovered);
   void on(const event::LearnedStateRestored& restored);
   void on_destination_limited(DestinationId destination, const char* cause);
+  void log_destination_limited(DestinationId destination, const char* cause);
+  void restore_limit(EndpointState& endpoint, const DestinationLimit& limit);
   void review_limited_destinations();
   void add_message(const event::Arrival& arrival);
   void recover_call(Message& message, const event::CallInFlight& in_flight);
@@ -132,7 +134,9 @@
   std::vector<TokenBucket> tenant_buckets;
   Time timer_expires_at = kNever;  // expiry of the earliest pending timer; kNever: none is pending
 
-  std::set<DestinationId> limited_destinations;  // those whose SlowStartPacer is active
+  // Those whose SlowStartPacer limits calls, and those that left the list, or are not listed yet, while
+  // limited.
+  DestinationLimits limited_destinations;
   Time next_limit_review_at = 0;
 
   Time next_poll_at = kNever;
--- a/src/rate_estimator.hpp
+++ b/src/rate_estimator.hpp
@@ -1,6 +1,7 @@
 // Estimates the rate of events by an exponentially decaying count.
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 
 #include "learned_state.hpp"
@@ -9,7 +10,8 @@
 namespace dispatch {
 
 /// Counts events with a weight that decays by the factor e within the time constant. While the observation is
-/// shorter than the time constant, the estimate is scaled up to the time that was observed.
+/// shorter than the time constant, the estimate is scaled up to the time that was observed, or to a longer
+/// time that the caller gives: a few events that come together must not be taken for a high rate.
 class RateEstimator {
  public:
   /// The time constant is in seconds.
@@ -24,12 +26,20 @@
     decay_to(now);
     weighted_count_ += 1;
   }
-  /// Returns the events per second; 0 before the observation has started.
-  double rate(Time now) {
+  /// Continues with the rate, in events per second, that an earlier estimator had reached.
+  void restore(Time now, double rate) {
+    constexpr double long_observation = 10;  // time constants
+    observed_since_ = now - micros(long_observation * time_constant_);
+    decayed_until_ = now;
+    weighted_count_ = rate * time_constant_;
+  }
+  /// Returns the events per second; 0 before the observation has started. The observation is taken to have
+  /// lasted at least `min_observation` seconds.
+  double rate(Time now, double min_observation = 0) {
     if (observed_since_ < 0) return 0;
     decay_to(now);
-    const double observed_fraction = 1 - std::exp(-(seconds(now - observed_since_) + 1) / time_constant_);
-    return weighted_count_ / time_constant_ / observed_fraction;
+    const double observed = std::max(seconds(now - observed_since_) + 1, min_observation);
+    return weighted_count_ / time_constant_ / (1 - std::exp(-observed / time_constant_));
   }
   /// Calls `visit` with each field of the learned state, in the order in which they are stored.
   template <class Visitor>
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -231,16 +231,16 @@
 TEST_F(JournalTest, LimitedDestinationsSurviveRestartAndCompaction) {
   {
     Journal journal(folder, kSizeLimit);
-    journal.record_limited_destinations({1, 2});
+    journal.record_limited_destinations({{1, {.demand = 0.5}}, {2, {.demand = 1.5}}});
     for (MessageId id = 1; id <= 40; id++) journal.record_message(id, message("m", 20'000));
     EXPECT_TRUE(journal.compact());  // the first of several steps
-    journal.record_limited_destinations({2, 3});
+    journal.record_limited_destinations({{2, {.demand = 1.5}}, {3, {}}});
     while (journal.compact()) {
     }
     EXPECT_TRUE(journal.commit());
   }
   const Journal journal(folder, kSizeLimit);
-  EXPECT_EQ(journal.limited_destinations(), (std::set<std::int64_t>{2, 3}));
+  EXPECT_EQ(journal.limited_destinations(), (dispatch::DestinationLimits{{2, {.demand = 1.5}}, {3, {}}}));
   EXPECT_EQ(journal.messages().size(), 40U);
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -254,6 +254,30 @@
   }
 }
 
+// Guards against a limit of an earlier process that was dropped because no list named the destination yet.
+TEST_F(SlowStartAfterOutage, TheLimitIsRestoredOnceTheDestinationIsListed) {
+  SimulatedRelay relay(settings());
+  relay.run_round({event::DestinationLimitRecovered{1}});
+  relay.set_endpoint_list({{.id = "c", .destination = 2}});
+  relay.run_until(relay.now + 60 * kSecond);
+  relay.set_endpoint_list({{.id = "a", .destination = 1}, {.id = "b", .destination = 1}});
+  expect_limited(relay);
+}
+
+// Guards against a limit that was dropped with the endpoints that left the list during the outage.
+TEST_F(SlowStartAfterOutage, TheLimitSurvivesTheAbsenceOfTheDestination) {
+  SimulatedRelay relay(settings());
+  call_regularly(relay);
+  const auto id = relay.submit(kNonIdempotent);
+  relay.end_attempt(id, Outcome::timeout);
+  relay.set_endpoint_list({{.id = "c", .destination = 2}});
+  relay.run_until(relay.now + 60 * kSecond);
+  relay.set_endpoint_list({{.id = "c", .destination = 2}});
+  relay.run_until(relay.now + 60 * kSecond);
+  relay.set_endpoint_list({{.id = "d", .destination = 1}});
+  expect_limited(relay);
+}
+
 // Guards against limits that last for minutes where a relay among many calls a destination seldom.
 TEST_F(SlowStartAfterOutage, ASeldomCalledDestinationIsCalledAgain) {
   auto many_relays = settings(1300);
