Remember destinations whose calls fail in the last part of a shutdown

Cause: from 1.5 s after SIGTERM on, the dispatcher was not run any more. Calls that failed from then on were recorded for their messages, but limited nothing in the next process.

Change: the dispatcher still gets the events; its actions are not taken.

Test: RelayTest.CallThatFailsDuringTheShutdownIsRemembered.

--- a/relay/decision_round.cpp
+++ b/relay/decision_round.cpp
@@ -18,7 +18,11 @@
   PlanBuilder plan(collaborators_.journal, collaborators_.registry, collaborators_.directory,
                    config_.settings, started_at_);
   admit_pending_messages(plan);
-  if (dispatching_) run_dispatcher(plan);
+  const std::vector<dispatch::Action> actions = run_dispatcher();
+  if (dispatching_) {
+    for (const dispatch::Action& action : actions)
+      std::visit([&](const auto& alternative) { apply(alternative, plan); }, action);
+  }
   collaborators_.write_ahead.enqueue(std::move(plan).finish());
   collaborators_.write_ahead.commit();
   collaborators_.compactor.start_if_needed();
@@ -33,13 +37,12 @@
   }
 }
 
-void DecisionRound::run_dispatcher(PlanBuilder& plan) {
+std::vector<dispatch::Action> DecisionRound::run_dispatcher() {
   std::vector<dispatch::Action> actions;
   const std::vector<dispatch::Event> events = collaborators_.events.take();
   collaborators_.dispatcher.handle(started_at_, events, actions);
   collaborators_.journal.record_limited_destinations(collaborators_.dispatcher.limited_destinations());
-  for (const dispatch::Action& action : actions)
-    std::visit([&](const auto& alternative) { apply(alternative, plan); }, action);
+  return actions;
 }
 
 void DecisionRound::apply(const action::Send& send, PlanBuilder& plan) { plan.send(send); }
--- a/relay/decision_round.hpp
+++ b/relay/decision_round.hpp
@@ -40,14 +40,14 @@
   // Runs one round: admits the pending messages, dispatches the queued events and commits the records.
   void run();
 
-  // Later rounds still record the pending messages and accept them, but do not run the dispatcher, so that no
-  // new call starts.
+  // Later rounds still record the pending messages and accept them, but take no action of the dispatcher, so
+  // that no new call starts. What the outcomes of calls tell of destinations is still recorded.
   void stop_dispatching() { dispatching_ = false; }
   [[nodiscard]] bool is_dispatching() const { return dispatching_; }
 
  private:
   void admit_pending_messages(PlanBuilder& plan);
-  void run_dispatcher(PlanBuilder& plan);
+  std::vector<dispatch::Action> run_dispatcher();
 
   // Each overload applies one action of the dispatcher: adds it to the plan or executes it immediately.
   void apply(const dispatch::action::Send& send, PlanBuilder& plan);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -572,6 +572,22 @@
   EXPECT_EQ(client->responses[0].result_int(), 202U);
 }
 
+// Guards against overloading a destination after a restart: what failed in the last part of the shutdown, in
+// which no call starts any more, limited nothing.
+TEST_F(RelayTest, CallThatFailsDuringTheShutdownIsRemembered) {
+  endpoint.on_request(leave_unanswered);
+  start();
+  EXPECT_EQ(submit("m1", kNonIdempotentClass, "x", "24000m"), 202U);
+  wait_for([&] { return endpoint.received.size() == 1; }, "the call");
+  ::kill(relay_pid, SIGTERM);
+  const auto fail_at = steady_clock::now() + milliseconds(2000);
+  wait_for([&] { return steady_clock::now() > fail_at; }, "no call starts any more");
+  endpoint.received[0].session->respond(500);
+  EXPECT_EQ(wait_for_exit(), 0);
+  const Journal journal(folder + "/state", 3'000'000);
+  EXPECT_TRUE(journal.limited_destinations().contains(7));
+}
+
 TEST_F(RelayTest, MessageOpenAtSigtermIsDeliveredAfterRestart) {
   endpoint_entries =
       endpoint_entry("s-1", endpoint.address(), "draining") + "," +
