--- a/relay/ingress_session.cpp
+++ b/relay/ingress_session.cpp
@@ -52,8 +52,8 @@
 
 // The size of the reads, in bytes.
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
-// Bytes of a chunked request's body, with its framing, for each byte of the longest body allowed.
-constexpr std::size_t kMaxChunkedOverhead = 2;
+// The longest chunked request with its header and framing, in bytes.
+constexpr std::size_t kMaxChunkedRequestBytes = kMaxHeaderBytes + 3 * kMaxBodyBytes;
 
 std::string format_response(unsigned status, Time retry_after, bool keep_alive) {
   http::response<http::empty_body> response(static_cast<http::status>(status), kHttpVersion);
@@ -284,8 +284,9 @@
     reject(kStatusBadRequest, "ambiguous framing");
     return ParseResult::handled;
   }
-  const auto length = parser_->content_length();
-  const std::uint64_t body_bytes = length.value_or(parser_->chunked() ? kMaxBodyBytes : 0);
+  // A chunked body is in memory twice: as received and as parsed.
+  const std::uint64_t chunked_bytes = kMaxChunkedRequestBytes + kMaxBodyBytes;
+  const std::uint64_t body_bytes = parser_->content_length().value_or(parser_->chunked() ? chunked_bytes : 0);
   if (!reserve_body_memory(static_cast<std::size_t>(body_bytes))) {
     reject(kStatusUnavailable, "no memory for the body");
     return ParseResult::handled;
@@ -302,7 +303,7 @@
   error_code error;
   while (!parser_->is_done() && !error)
     if (put_in_parser(error) == 0) break;
-  if (!error && received_.size() > kMaxHeaderBytes + (kMaxChunkedOverhead + 1) * kMaxBodyBytes)
+  if (!error && !parser_->is_done() && received_.size() > kMaxChunkedRequestBytes)
     error = http::error::body_limit;
   if (error) {
     reject_unparsable(error);
