Let a reported limit explain a single rejection, and delay no call after a served one

Change: a single short rejection whose answer reports at most a tenth of the destination's limit as left limits nothing: the limit explains it. Calls are also not delayed within OverloadFor of the last served call when the rejection told a wait.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -13,6 +13,8 @@
 
 /// One hour, in microseconds. A timer that expires early is harmless.
 constexpr Time kMaxTimerDuration = 3'600'000'000;
+/// A destination that reports no more than this fraction of its limit as left rejects calls for that reason.
+constexpr double kUsedUpFraction = 0.1;
 /// The shortest observation, in seconds, of the demand from which a limit is computed.
 constexpr double kMinDemandObservation = 5;
 /// The time between two reviews of the limited destinations, in microseconds.
@@ -243,7 +245,7 @@
                                                           attempt.retry_after);
   if (call.outcome_recorded || !outcome_reflects_endpoint(attempt, call)) return;
   call.outcome_recorded = true;
-  update_slow_start(endpoint, call.sent_at, attempt.outcome);
+  update_slow_start(endpoint, call.sent_at, attempt);
   if (attempt.outcome == Outcome::succeeded)
     on_served(endpoint, call.sent_at, attempt);
   else if (attempt.outcome == Outcome::rejected)
@@ -253,7 +255,9 @@
 }
 
 // The calls to all endpoints of a destination count towards its budget in slow start.
-void Dispatcher::State::update_slow_start(EndpointState& endpoint, Time sent_at, Outcome outcome) {
+void Dispatcher::State::update_slow_start(EndpointState& endpoint, Time sent_at,
+                                          const event::AttemptEnded& attempt) {
+  const Outcome outcome = attempt.outcome;
   RateLimitScope& scope = directory.scope_of(endpoint);
   RateEstimator& demand = endpoint.is_independent ? endpoint.demand : scope.arrivals;
   const KnownLoad load{.demand = demand.rate(round.now(), kMinDemandObservation),
@@ -269,9 +273,15 @@
   const bool is_short_rejection =
       outcome == Outcome::rejected && blocked_until <= round.now() + settings.overload_duration;
   const bool is_weak_evidence = outcome == Outcome::error || outcome == Outcome::reset || is_short_rejection;
-  const bool is_first = scope.slow_start.on_unsuccessful(
-      round, {.sent_at = sent_at, .is_weak_evidence = is_weak_evidence, .blocked_until = blocked_until},
-      load);
+  const double remaining = attempt.load_report.remaining_fraction;
+  const bool limit_is_used_up = remaining >= 0 && remaining <= kUsedUpFraction;
+  const bool is_first =
+      scope.slow_start.on_unsuccessful(round,
+                                       {.sent_at = sent_at,
+                                        .is_weak_evidence = is_weak_evidence,
+                                        .is_explained_by_limit = is_short_rejection && limit_is_used_up,
+                                        .blocked_until = blocked_until},
+                                       load);
   if (is_first) on_destination_limited(endpoint.info.destination, cause_name(outcome));
 }
 
--- a/src/dispatcher_state.hpp
+++ b/src/dispatcher_state.hpp
@@ -73,7 +73,7 @@
 
   void add_or_update(const Endpoint& info);
   void record_endpoint_outcome(EndpointState& endpoint, Call& call, const event::AttemptEnded& attempt);
-  void update_slow_start(EndpointState& endpoint, Time sent_at, Outcome outcome);
+  void update_slow_start(EndpointState& endpoint, Time sent_at, const event::AttemptEnded& attempt);
   void on_served(EndpointState& endpoint, Time sent_at, const event::AttemptEnded& attempt);
   void on_rejected(EndpointState& endpoint);
   void on_failed(EndpointState& endpoint, const event::AttemptEnded& attempt, int message_count);
--- a/src/slow_start_pacer.cpp
+++ b/src/slow_start_pacer.cpp
@@ -78,6 +78,8 @@
   // The call was lost in the outage that this slow start follows.
   if (is_in_slow_start && call.sent_at < record_.phase_started_at) return false;
   const bool was_active = is_active();
+  if (!was_active && call.is_explained_by_limit && record_.consecutive_unsuccessful < kWeakEvidenceCalls)
+    return false;
   if (!was_active) {
     record_.demand = load.demand;
     record_.interrupted_slow_start_at = -kNever;
@@ -99,10 +101,10 @@
                                 Time blocked_until) {
   const bool is_single_failure = record_.consecutive_unsuccessful < kWeakEvidenceCalls;
   const bool is_blocked = blocked_until > round.now();
-  if (is_single_failure && call.is_weak_evidence && !is_blocked) {
-    record_.unlimited_until = record_.last_served_at + round.settings().overload_duration;
+  const bool is_weak = is_single_failure && call.is_weak_evidence;
+  if (is_weak) record_.unlimited_until = record_.last_served_at + round.settings().overload_duration;
+  if (is_weak && !is_blocked)
     return record_.bucket.set(allowance(round, load.rate_limit).burst, blocked_until);
-  }
   const double initial = initial_tokens(round, load.rate_limit);
   const bool keeps_fewer = !is_single_failure && !is_blocked;
   record_.bucket.set(keeps_fewer ? std::min(record_.bucket.tokens(), initial) : initial, blocked_until);
--- a/src/slow_start_pacer.hpp
+++ b/src/slow_start_pacer.hpp
@@ -20,6 +20,9 @@
   Time sent_at = 0;
   /// Available destinations answer some calls like this, too. The first such call in a row leaves one token.
   bool is_weak_evidence = false;
+  /// The destination reported that its rate limit is used up, which explains the rejection without an outage.
+  /// A single such call limits nothing.
+  bool is_explained_by_limit = false;
   /// The end of a Retry-After. No tokens accumulate before it: relays that were told the same one would
   /// otherwise all resume at once.
   Time blocked_until = 0;
