Reserve the ports of relays under test, and wait for recorded answers before a kill

Cause: the tests chose the relay's port with a socket that they closed again; a stand-in that bound any free port later could get it. Seen once: CachedListTest.ARelocationDuringTheFirstWatchIsFollowed, "bind: Address already in use". OperatorServerTest.ASuspendedEndpointReceivesNoCallsUntilRestored killed the relay before it had recorded two answers; it then sends these repeatable messages again, as PROTOCOL allows, and the exact count of calls did not come.

Change: a bound socket that does not listen keeps the port. The operators' test waits for outstanding=0 before the kill; its exact count stays.

--- a/tests/operator_server_test.cpp
+++ b/tests/operator_server_test.cpp
@@ -22,8 +22,7 @@
 class OperatorServerTest : public RelayTest {
  protected:
   OperatorServerTest() {
-    tcp::acceptor probe(io, {net::ip::make_address(loopback_address()), 0});
-    operator_port = probe.local_endpoint().port();
+    operator_port = operator_port_reservation.local_endpoint().port();
     extra_config = R"(,"operator":")" + loopback_address() + ":" + std::to_string(operator_port) + R"(")";
   }
   // A connection of an operator, and what the relay has sent on it.
@@ -59,6 +58,7 @@
     return run_command("METRICS\n").find("svc." + name_and_value + "\n") != std::string::npos;
   }
 
+  tcp::socket operator_port_reservation = reserve_port(io);
   std::uint16_t operator_port = 0;
 };
 
@@ -162,6 +162,8 @@
   send_watch_line(endpoint_list(endpoint_entry("s-1", endpoint.address(), "draining"), false));
   send_watch_line(endpoint_list(endpoint_entries));
   submit_and_wait();
+  // A call whose end is not recorded at the kill is sent again.
+  wait_for([&] { return has_metric("outstanding=0"); }, "the end of all messages");
   kill_relay();
   start();
   EXPECT_TRUE(has_metric("ejected=1"));
--- a/tests/relay_harness.hpp
+++ b/tests/relay_harness.hpp
@@ -3,6 +3,7 @@
 // and waits for conditions, never for a fixed time.
 #pragma once
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <linux/filter.h>
 #include <linux/seccomp.h>
@@ -45,6 +46,16 @@
          std::to_string(1 + pid % 254);
 }
 
+// Binds a socket to a free port, which no other socket gets while it is bound. As it does not listen, the
+// relay can still listen on the port.
+inline tcp::socket reserve_port(net::io_context& io) {
+  tcp::socket socket(io, tcp::v4());
+  socket.set_option(net::socket_base::reuse_address(true));
+  socket.bind({net::ip::make_address(loopback_address()), 0});
+  ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
+  return socket;
+}
+
 // A connection that a FakeServer has accepted.
 struct Session : std::enable_shared_from_this<Session> {
   explicit Session(tcp::socket accepted) : socket(std::move(accepted)) {}
@@ -172,8 +183,7 @@
     folder = base.string();
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder + "/state");
-    tcp::acceptor probe(io, {net::ip::make_address(loopback_address()), 0});
-    port = probe.local_endpoint().port();
+    port = port_reservation.local_endpoint().port();
   }
   ~RelayTest() override {
     if (relay_pid > 0) {
@@ -384,6 +394,7 @@
   }
 
   net::io_context io;
+  tcp::socket port_reservation = reserve_port(io);
   FakeServer endpoint;
   FakeServer platform;
   std::string folder;            // holds the relay's configuration, state and log
--- a/tests/slow_start_process_test.cpp
+++ b/tests/slow_start_process_test.cpp
@@ -106,8 +106,8 @@
   static constexpr Seconds kRestartDuration{0.6};
 
   std::uint16_t free_port() {
-    tcp::acceptor probe(io_, {net::ip::make_address(loopback_address()), 0});
-    return probe.local_endpoint().port();
+    port_reservations_.push_back(reserve_port(io_));
+    return port_reservations_.back().local_endpoint().port();
   }
   std::string endpoint_list(std::size_t relay) const {
     std::string entries;
@@ -231,6 +231,7 @@
   std::mt19937 random_;
   std::vector<std::unique_ptr<FakeServer>> endpoints_;
   std::vector<std::unique_ptr<FakeServer>> platforms_;
+  std::vector<tcp::socket> port_reservations_;
   std::vector<std::uint16_t> ports_;
   std::vector<std::unique_ptr<scale_tool::TemporaryDirectory>> directories_;
   std::vector<std::unique_ptr<scale_tool::RelayProcess>> relays_;
