Show notices lost when discovery moves while an upgrade is under way

Cause: a new process reads its configuration before it waits for the old one, and nothing reads it again.

The program is unchanged.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -216,6 +216,7 @@
         self.port = free_port()
         self.index = 41
         self.watchers = set()
+        self.connections = set()
         self.notices = []  # (time, id, status)
         self.silent = False
         self.server = None
@@ -230,6 +231,11 @@
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port, limit=1 << 22)
 
+    def retire(self):
+        """After SIGHUP: no new connections, and the open ones are closed after 1.5 s."""
+        self.server.close()
+        asyncio.get_running_loop().call_later(1.5, lambda: [w.transport.abort() for w in list(self.connections)])
+
     def announce(self, endpoint, status):
         endpoint.status = status
         self.index += 1
@@ -244,6 +250,7 @@
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 line, headers = await read_head(reader)
@@ -273,6 +280,7 @@
             pass
         finally:
             self.watchers.discard(writer)
+            self.connections.discard(writer)
             writer.close()
 
 
